--- a/internal/commander/commander.go
+++ b/internal/commander/commander.go
@@ -66,6 +66,7 @@
 		},
 		Commands: []*cli.Command{
 			serveCommand(),
+			entryCommand(),
 			checkCommand(),
 			planCommand(),
 			applyCommand(),
--- /dev/null
+++ b/internal/commander/entry.go
@@ -0,0 +1,68 @@
+package commander
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/urfave/cli/v3"
+
+	"quetzalgrade.example/quetzalgrade/internal/connector"
+	"quetzalgrade.example/quetzalgrade/internal/runner"
+	"quetzalgrade.example/quetzalgrade/platform"
+)
+
+func entryCommand() *cli.Command {
+	return &cli.Command{
+		Name:         "entry",
+		Usage:        "run the daemon of an entry instance on the operators' platform",
+		Description:  example("quetzalgrade entry --settings /etc/quetzalgrade/settings.toml"),
+		OnUsageError: wrongUse,
+		Flags: []cli.Flag{&cli.StringFlag{
+			Name:     "settings",
+			Usage:    "settings `FILE`",
+			Sources:  cli.EnvVars(platform.SettingsVariable),
+			Required: true,
+		}},
+		Action: func(ctx context.Context, command *cli.Command) error {
+			return entry(ctx, command.String("settings"), command.Root().Writer)
+		},
+	}
+}
+
+func entry(ctx context.Context, file string, logs io.Writer) error {
+	settings, err := runner.Load(file)
+	if err != nil {
+		return err
+	}
+	network := connector.TCP{}
+	log := platform.NewLog(&http.Client{Transport: connector.Transport(network)}, settings.Store)
+	reload := make(chan struct{}, 1)
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	defer signal.Stop(hangups)
+	go func() {
+		for range hangups {
+			select {
+			case reload <- struct{}{}:
+			default:
+			}
+		}
+	}()
+	daemon, err := runner.New(settings, runner.Process{
+		Network:    network,
+		Translator: platform.Translator{},
+		Operator:   log.Operator(),
+		Endpoints:  log.Endpoints(),
+		Clock:      runner.SinceBoot,
+		Logs:       logs,
+		Reload:     reload,
+	})
+	if err != nil {
+		return err
+	}
+	return daemon.Run(ctx)
+}
--- /dev/null
+++ b/internal/forwarder/attempt.go
@@ -0,0 +1,255 @@
+package forwarder
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/hashicorp/go-hclog"
+
+	"quetzalgrade.example/quetzalgrade/internal/classifier"
+	"quetzalgrade.example/quetzalgrade/internal/exchanger"
+	"quetzalgrade.example/quetzalgrade/internal/matcher"
+	"quetzalgrade.example/quetzalgrade/internal/tracker"
+)
+
+const (
+	// maxAnswer bounds an answer that is held as a whole.
+	maxAnswer = 8 << 20
+	// maxSends bounds how often one request is offered, refusals included.
+	maxSends = 6
+	// firstBytes and moreBytes are the buffer sizes of answers.
+	pieceBytes = 4 << 10
+)
+
+// verdict says what to do after an attempt.
+type verdict int
+
+const (
+	// done: the answer has been passed on.
+	done verdict = iota
+	// unrun: the endpoint has not run the request.
+	unrun
+	// failed: the endpoint may have run it, and nothing usable came.
+	failed
+)
+
+// run offers the request to endpoints until one has answered.
+func (c *call) run(ctx context.Context) *classifier.Error {
+	budget := c.Budgets.Of(c.route.Service)
+	budget.Request()
+	c.after = c.After
+	var held *answer
+	last := classifier.New(classifier.NoEndpoint, "no endpoint of service %q takes work", c.route.Service)
+	for sends := 0; sends < maxSends; sends++ {
+		if sends > 0 && !budget.Spend() {
+			last = classifier.Wrap(last.Kind, last, "no more repeats are allowed now")
+			break
+		}
+		choice, ok := c.pick()
+		if !ok {
+			break
+		}
+		if sends > 0 {
+			c.Counters.Repeats.Inc()
+		}
+		outcome, got, err := c.try(ctx, choice)
+		if outcome == done {
+			return nil
+		}
+		if got != nil {
+			held = got
+		}
+		if err != nil {
+			last = err
+		}
+		if ctx.Err() != nil || !c.mayRepeat(outcome) {
+			break
+		}
+	}
+	if held != nil && !c.begun {
+		c.pass(held)
+		return nil
+	}
+	return last
+}
+
+// mayRepeat reports whether another endpoint may get the request.
+func (c *call) mayRepeat(outcome verdict) bool {
+	if outcome == unrun {
+		return true
+	}
+	return c.route.Repeats() && c.runs < c.route.Attempts
+}
+
+func (c *call) pick() (*tracker.Choice, bool) {
+	only, except := c.Believer.Version(c.route.Service, c.Session)
+	return c.Tracker.Pick(tracker.Query{
+		Service: c.route.Service,
+		Version: only,
+		Except:  except,
+		Model:   c.model(),
+		Prefix:  c.prefix(),
+		Tokens:  c.Prompt,
+		Tried:   c.tried,
+	})
+}
+
+// model returns the size of model to run the request on; empty to leave the
+// client's choice.
+func (c *call) model() string {
+	if !c.ModelFree || len(c.route.Sizes) == 0 {
+		return ""
+	}
+	return c.route.Sizes[len(c.route.Sizes)/2]
+}
+
+// prefix hashes the parts that the request shares with others.
+func (c *call) prefix() uint64 {
+	if !c.route.Affine || len(c.PromptParts) < 2 {
+		return 0
+	}
+	return c.PromptParts[len(c.PromptParts)-2].ID
+}
+
+// answer is an answer that is held as a whole.
+type answer struct {
+	status int
+	header http.Header
+	body   []byte
+}
+
+// try offers the request to one endpoint. An answer that is returned is the
+// endpoint's failure, to be passed on if nothing better comes.
+func (c *call) try(ctx context.Context, choice *tracker.Choice) (verdict, *answer, *classifier.Error) {
+	c.Counters.Attempts.Inc()
+	c.tried = append(c.tried, choice.ID)
+	began := time.Now()
+	attempt := Attempt{
+		Left:     c.left(),
+		Endpoint: choice.ID,
+		Model:    c.model(),
+		Priority: -1,
+		After:    c.after,
+	}
+	if c.account != nil {
+		attempt.Account = c.account.Name
+	}
+	reply, failure := c.Exchanger.Do(ctx, choice.Address, &exchanger.Message{
+		Method: c.http.Method,
+		Target: c.http.RequestURI,
+		Host:   c.http.Host,
+		Header: c.Codec.Encode(c.http.Header, attempt),
+		Body:   c.body,
+	})
+	if failure != nil {
+		return c.unanswered(ctx, choice, failure)
+	}
+	defer reply.Close()
+	notes := c.Codec.Notes(reply.Status, reply.Header)
+	if notes.HasLoad {
+		choice.Report(notes.Running, notes.Waiting)
+	}
+	if notes.Refused {
+		return c.refused(choice, reply, notes)
+	}
+	c.runs++
+	if reply.Status == http.StatusOK && c.route.Kind == matcher.Stream {
+		return c.stream(ctx, choice, reply, notes, began)
+	}
+	return c.whole(ctx, choice, reply, notes, began)
+}
+
+// unanswered handles an attempt without an answer.
+func (c *call) unanswered(ctx context.Context, choice *tracker.Choice, failure *exchanger.Failure) (verdict, *answer, *classifier.Error) {
+	outcome, blame := failed, tracker.Bad
+	if failure.Stage == exchanger.Unsent {
+		outcome = unrun
+	} else {
+		c.runs++
+	}
+	if ctx.Err() != nil {
+		blame = tracker.Neutral
+	}
+	choice.End(blame, 0)
+	c.log(hclog.Info, "attempt without answer", c.about(choice, "error", failure.Err, "sent", failure.Stage == exchanger.Sent)...)
+	kind := classifier.EndpointFailed
+	if outcome == unrun {
+		kind = classifier.NoEndpoint
+	}
+	return outcome, nil, classifier.Wrap(kind, failure, "no answer of endpoint %s", choice.ID)
+}
+
+// refused handles an endpoint that did not run the request.
+func (c *call) refused(choice *tracker.Choice, reply *exchanger.Reply, notes Notes) (verdict, *answer, *classifier.Error) {
+	_, _ = io.Copy(io.Discard, io.LimitReader(reply, maxAnswer))
+	choice.End(tracker.Neutral, 0)
+	if notes.Elsewhere {
+		choice.Misdirected()
+	}
+	c.log(hclog.Info, "endpoint refused", c.about(choice, "status", reply.Status, "running", notes.Running, "waiting", notes.Waiting)...)
+	return unrun, nil, classifier.New(classifier.EndpointRefused, "endpoint %s refused with status %d", choice.ID, reply.Status).After(notReadyPause)
+}
+
+// about returns the fields of an attempt for a log line.
+func (c *call) about(choice *tracker.Choice, args ...any) []any {
+	return append(args, "endpoint", choice.ID, "address", choice.Address, "version", choice.Version, "model", c.model(),
+		"load", choice.Load, "load_age", choice.ReportAge, "sends", len(c.tried))
+}
+
+// whole reads an answer to its end and passes it on.
+func (c *call) whole(ctx context.Context, choice *tracker.Choice, reply *exchanger.Reply, notes Notes, began time.Time) (verdict, *answer, *classifier.Error) {
+	body, err := io.ReadAll(io.LimitReader(reply, maxAnswer))
+	took := time.Since(began)
+	if err == nil {
+		err = sound(reply.Status, notes)
+	}
+	if err != nil {
+		blame := tracker.Bad
+		if ctx.Err() != nil {
+			blame = tracker.Neutral
+		}
+		choice.End(blame, 0)
+		c.log(hclog.Info, "answer is spoilt", c.about(choice, "error", err, "status", reply.Status)...)
+		return failed, nil, classifier.Wrap(classifier.EndpointFailed, err, "the answer of endpoint %s is spoilt", choice.ID)
+	}
+	got := &answer{status: reply.Status, header: c.Codec.Reply(reply.Header), body: body}
+	good := reply.Status < http.StatusInternalServerError
+	c.Believer.Ran(c.route.Service, choice.Version, c.route.Name, c.Session, good, took)
+	if !good {
+		choice.End(tracker.Bad, 0)
+		c.log(hclog.Info, "endpoint failed", c.about(choice, "status", reply.Status)...)
+		return failed, got, classifier.New(classifier.EndpointFailed, "endpoint %s failed with status %d", choice.ID, reply.Status)
+	}
+	choice.End(tracker.Good, 0)
+	reply.Close()
+	c.pass(got)
+	c.log(hclog.Debug, "request served", c.about(choice, "status", reply.Status, "took", took)...)
+	return done, nil, nil
+}
+
+// sound reports why an answer cannot be the endpoint's own.
+func sound(status int, notes Notes) error {
+	if status >= http.StatusOK && status < http.StatusMultipleChoices && !notes.Signed {
+		return errors.New("a success without a signature")
+	}
+	if notes.Encoded {
+		return errors.New("an encoded body that nobody asked for")
+	}
+	return nil
+}
+
+// pass writes an answer to the client.
+func (c *call) pass(got *answer) {
+	c.begun = true
+	c.Counters.Served.Inc()
+	c.Counters.Whole.UpdateDuration(c.arrived)
+	header := c.writer.Header()
+	for name, values := range got.header {
+		header[name] = values
+	}
+	c.writer.WriteHeader(got.status)
+	_, _ = c.writer.Write(got.body)
+}
--- /dev/null
+++ b/internal/forwarder/forwarder.go
@@ -0,0 +1,287 @@
+// Package forwarder takes a request through its decisions to an endpoint and
+// passes the answer back unchanged, as a whole or event by event.
+package forwarder
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/hashicorp/go-hclog"
+
+	"quetzalgrade.example/quetzalgrade/internal/classifier"
+	"quetzalgrade.example/quetzalgrade/internal/exchanger"
+	"quetzalgrade.example/quetzalgrade/internal/matcher"
+	"quetzalgrade.example/quetzalgrade/internal/tracker"
+)
+
+// Part is a part of a prompt that requests may share.
+type Part struct {
+	ID     uint64
+	Tokens int
+}
+
+// Request is what the headers of a request say.
+type Request struct {
+	ID string
+	// Key is the API key; HasKey tells an empty one from none.
+	Key    string
+	HasKey bool
+	// Wait is how long the client waits; 0 when it does not say.
+	Wait    time.Duration
+	Session string
+	// PromptParts are the parts of the prompt in order.
+	PromptParts []Part
+	// Prompt and Output are the tokens of the prompt and, as far as known, of
+	// the answer.
+	Prompt int
+	Output int
+	// After is the last event that the client has of a stream that it resumes.
+	After int64
+	// ModelFree requests leave the choice of the model to the router.
+	ModelFree bool
+}
+
+// Attempt is what an endpoint is told beyond the client's own headers.
+type Attempt struct {
+	// Left is the time until the deadline; 0 for none.
+	Left     time.Duration
+	Endpoint string
+	Account  string
+	Model    string
+	// Priority is the rank at the endpoint; negative for none.
+	Priority int
+	// After is the last event of a stream that is resumed.
+	After int64
+}
+
+// Notes is what the headers of an answer say.
+type Notes struct {
+	// ID is the request that the answer belongs to; empty when unsaid.
+	ID string
+	// Refused answers say that the request did not run.
+	Refused bool
+	// Elsewhere is set when another endpoint has the address.
+	Elsewhere bool
+	// Signed answers carry the endpoint's signature.
+	Signed bool
+	// Encoded bodies are not the endpoint's bytes.
+	Encoded bool
+	// Running and Waiting are the endpoint's load if HasLoad is set.
+	Running int
+	Waiting int
+	HasLoad bool
+	// Confidence is the model's own opinion of its answer from 0 to 100;
+	// negative when unsaid.
+	Confidence int
+}
+
+// Codec translates headers.
+type Codec interface {
+	// Parse reads a client's headers.
+	Parse(header http.Header) (Request, error)
+	// Encode returns the headers for an endpoint.
+	Encode(original http.Header, attempt Attempt) http.Header
+	// Notes reads the headers of an answer.
+	Notes(status int, header http.Header) Notes
+	// Reply returns the headers of an answer for the client.
+	Reply(header http.Header) http.Header
+	// Owned returns the headers of an answer of the router's own.
+	Owned(id string) http.Header
+}
+
+// View is what the daemon believes when a request arrives.
+type View struct {
+	// Table is nil before the first declaration.
+	Table *matcher.Table
+	// Age is how old the proof is that the declaration is the newest.
+	Age time.Duration
+	// Fresh views are recent enough to run requests with a key and to say that
+	// a route or a key does not exist.
+	Fresh bool
+	// Stopping daemons ask clients to leave.
+	Stopping bool
+}
+
+// Believer tells what the daemon believes.
+type Believer interface {
+	View() View
+	// Version returns the version that a session's request to a service must run
+	// on and the one that it must not; empty for no constraint.
+	Version(service, session string) (only, except string)
+	// Ran records a result of a version.
+	Ran(service, version, route string, session string, good bool, took time.Duration)
+}
+
+// Parts are what a forwarder works with.
+type Parts struct {
+	Codec     Codec
+	Believer  Believer
+	Tracker   *tracker.Tracker
+	Exchanger *exchanger.Exchanger
+	Budgets   *Budgets
+	Logger    hclog.Logger
+	Counters  *Counters
+}
+
+// Forwarder handles the requests of clients.
+type Forwarder struct {
+	Parts
+}
+
+// New returns a forwarder.
+func New(parts Parts) *Forwarder { return &Forwarder{parts} }
+
+// call is one request under way.
+type call struct {
+	*Forwarder
+	Request
+	writer  http.ResponseWriter
+	http    *http.Request
+	view    View
+	route   *matcher.Route
+	account *matcher.Account
+	body    []byte
+	arrived time.Time
+	// deadline is when the final answer is due.
+	deadline time.Time
+	// tried are the endpoints that have got the request.
+	tried []string
+	// runs counts the endpoints that may have run it.
+	runs int
+	// begun is set when part of the answer has been passed on.
+	begun bool
+	// after is the last event that was passed on.
+	after int64
+}
+
+// ServeHTTP implements http.Handler.
+func (f *Forwarder) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
+	c := &call{Forwarder: f, writer: writer, http: request, view: f.Believer.View(), arrived: time.Now()}
+	f.Counters.Requests.Inc()
+	if c.view.Stopping || len(request.TransferEncoding) > 0 {
+		// A body in chunks may hide what a length would have shown: nothing after
+		// it on the connection is taken for a request.
+		writer.Header().Set("Connection", "close")
+	}
+	if err := c.admit(); err != nil {
+		c.reject(err)
+		return
+	}
+	ctx, cancel := context.WithDeadline(request.Context(), c.deadline)
+	defer cancel()
+	if err := c.run(ctx); err != nil {
+		c.fail(ctx, err)
+	}
+}
+
+// admit finds the route and the account and reads the body.
+func (c *call) admit() *classifier.Error {
+	var err error
+	if c.Request, err = c.Codec.Parse(c.http.Header); err != nil {
+		return classifier.Wrap(classifier.BadRequest, err, "the headers cannot be read")
+	}
+	if c.view.Table == nil {
+		return classifier.New(classifier.NotReady, "no declaration is known yet").After(notReadyPause)
+	}
+	if c.route = c.view.Table.Route(c.http.Host, c.http.URL.Path); c.route == nil {
+		return c.ifFresh(classifier.New(classifier.NotFound, "no route matches"))
+	}
+	if problem := c.authenticate(); problem != nil {
+		return problem
+	}
+	c.deadline = c.arrived.Add(c.patience())
+	return c.readBody()
+}
+
+// notReadyPause is how long a client waits for a daemon that lacks a view.
+const notReadyPause = 300 * time.Millisecond
+
+// ifFresh returns the error if the view is fresh: an old one may lack what the
+// request needs.
+func (c *call) ifFresh(problem *classifier.Error) *classifier.Error {
+	if c.view.Fresh {
+		return problem
+	}
+	return classifier.New(classifier.NotReady, "the declaration may be out of date").After(notReadyPause)
+}
+
+func (c *call) authenticate() *classifier.Error {
+	if c.HasKey {
+		c.account = c.view.Table.Account(c.Key)
+	}
+	if c.route.Anonymous || !c.view.Table.Accounted {
+		return nil
+	}
+	if c.account == nil {
+		return c.ifFresh(classifier.New(classifier.Unauthenticated, "the key is not known"))
+	}
+	if !c.view.Fresh {
+		return classifier.New(classifier.NotReady, "the key may have been withdrawn").After(notReadyPause)
+	}
+	return nil
+}
+
+// defaultWait applies where neither the client nor the route bounds the wait.
+const defaultWait = 30 * time.Second
+
+// patience is how long the request may take.
+func (c *call) patience() time.Duration {
+	wait := c.route.Timeout
+	if wait <= 0 {
+		wait = defaultWait
+	}
+	if c.Wait > 0 {
+		wait = min(wait, c.Wait)
+	}
+	return wait
+}
+
+// defaultBody bounds a body where the declaration does not.
+const defaultBody = 4 << 20
+
+func (c *call) readBody() *classifier.Error {
+	limit := c.view.Table.Limits.Body
+	if limit <= 0 {
+		limit = defaultBody
+	}
+	if c.http.ContentLength > limit {
+		return classifier.New(classifier.BodyTooLarge, "the body has %d bytes, at most %d are allowed", c.http.ContentLength, limit)
+	}
+	if c.http.Body == nil || c.http.Body == http.NoBody {
+		return nil
+	}
+	body, err := io.ReadAll(io.LimitReader(c.http.Body, limit+1))
+	if err != nil {
+		return classifier.Wrap(classifier.CallerGone, err, "the body cannot be read")
+	}
+	if int64(len(body)) > limit {
+		return classifier.New(classifier.BodyTooLarge, "the body has more than %d bytes", limit)
+	}
+	c.body = body
+	return nil
+}
+
+// left is the time until the deadline.
+func (c *call) left() time.Duration { return time.Until(c.deadline) }
+
+// gone reports whether the client has left.
+func (c *call) gone() bool { return c.http.Context().Err() != nil }
+
+// fail ends a request that got no whole answer.
+func (c *call) fail(ctx context.Context, problem *classifier.Error) {
+	if c.gone() {
+		problem = classifier.Wrap(classifier.CallerGone, problem, "the client left")
+	} else if errors.Is(ctx.Err(), context.DeadlineExceeded) && problem.Kind != classifier.NoEndpoint {
+		problem = classifier.Wrap(classifier.Timeout, problem, "the deadline passed")
+	}
+	if c.begun {
+		c.log(hclog.Warn, "stream cut", "error", problem, "after", c.after, "kind", problem.Kind)
+		c.Counters.count("cut", problem.Kind)
+		// The connection is closed, so that the answer does not look complete.
+		panic(http.ErrAbortHandler)
+	}
+	c.reject(problem)
+}
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -5,6 +5,8 @@
 
 import (
 	"context"
+	"io"
+	"log/slog"
 	"sync/atomic"
 
 	"github.com/asynkron/protoactor-go/actor"
@@ -81,3 +83,14 @@
 		k.system.Root.Poison(k.pid)
 	}
 }
+
+// NewSystem returns an actor system that logs nothing: daemons log through
+// hclog.
+func NewSystem() *actor.ActorSystem {
+	return actor.NewActorSystem(actor.WithLoggerFactory(quietLogger))
+}
+
+// quietLogger silences the actor library; the daemon logs through hclog.
+func quietLogger(*actor.ActorSystem) *slog.Logger {
+	return slog.New(slog.NewTextHandler(io.Discard, nil))
+}
--- a/internal/picker/health.go
+++ b/internal/picker/health.go
@@ -56,6 +56,10 @@
 	return known
 }
 
+// Forget drops what is known of an endpoint, as when another one has its
+// address.
+func (h *Health) Forget(endpoint netip.AddrPort) { delete(h.records, endpoint) }
+
 // Succeeded adds an answer; pace is its time per token, or 0 when unknown.
 // Results that come while the endpoint is ejected are of requests from before
 // and do not count: they made it look well again.
--- a/internal/retrier/retrier.go
+++ b/internal/retrier/retrier.go
@@ -23,16 +23,24 @@
 type Budget struct {
 	mu     sync.Mutex
 	tokens float64
+	share  float64
+	burst  float64
 }
 
 // NewBudget returns a budget with a small initial allowance.
-func NewBudget() *Budget { return &Budget{tokens: initial} }
+func NewBudget() *Budget { return NewBudgetOf(share, burst) }
+
+// NewBudgetOf returns a budget that allows a share of the requests to be
+// repeated and saves up at most burst repeats.
+func NewBudgetOf(share, burst float64) *Budget {
+	return &Budget{tokens: min(initial, burst), share: share, burst: burst}
+}
 
 // Request adds a request's share.
 func (b *Budget) Request() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.tokens = min(burst, b.tokens+share)
+	b.tokens = min(b.burst, b.tokens+b.share)
 }
 
 // Spend takes one repeat; it reports whether the budget allows it.
--- /dev/null
+++ b/internal/runner/beliefs.go
@@ -0,0 +1,37 @@
+package runner
+
+import (
+	"time"
+
+	"quetzalgrade.example/quetzalgrade/internal/forwarder"
+	"quetzalgrade.example/quetzalgrade/internal/matcher"
+)
+
+// proofShare is the share of the time within which a withdrawn key must stop
+// working for which a proof of reading counts.
+const proofShare = 0.9
+
+// View implements forwarder.Believer.
+func (r *Runner) View() forwarder.View {
+	age, proven := r.declared.Age()
+	return forwarder.View{
+		Table:    r.table(),
+		Age:      age,
+		Fresh:    proven && age < time.Duration(proofShare*float64(r.settings.Revoke)),
+		Stopping: r.stopping.Load(),
+	}
+}
+
+// table returns the declaration in force, or nil.
+func (r *Runner) table() *matcher.Table { return r.declaration.Snapshot().table }
+
+// Version implements forwarder.Believer.
+func (r *Runner) Version(service, _ string) (only, except string) {
+	if order, ok := r.declaration.Snapshot().orders[service]; ok {
+		return "", order.Target
+	}
+	return "", ""
+}
+
+// Ran implements forwarder.Believer.
+func (r *Runner) Ran(string, string, string, string, bool, time.Duration) {}
--- /dev/null
+++ b/internal/runner/runner.go
@@ -0,0 +1,283 @@
+// Package runner runs the daemon of an entry instance that forwards requests
+// unchanged: it follows what operators and endpoints write to the log, serves
+// clients, and stops in order.
+package runner
+
+import (
+	"context"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/asynkron/protoactor-go/actor"
+	"github.com/go-faster/errors"
+	"github.com/hashicorp/go-hclog"
+	"golang.org/x/sync/errgroup"
+
+	"quetzalgrade.example/quetzalgrade/internal/connector"
+	"quetzalgrade.example/quetzalgrade/internal/exchanger"
+	"quetzalgrade.example/quetzalgrade/internal/forwarder"
+	"quetzalgrade.example/quetzalgrade/internal/keeper"
+	"quetzalgrade.example/quetzalgrade/internal/matcher"
+	"quetzalgrade.example/quetzalgrade/internal/noter"
+	"quetzalgrade.example/quetzalgrade/internal/subscriber"
+	"quetzalgrade.example/quetzalgrade/internal/tracker"
+)
+
+// Translator reads what operators and endpoints write.
+type Translator interface {
+	forwarder.Codec
+	// Declared reads a record of the operators' topic. Exactly one result is set
+	// unless the record is of a kind that the daemon does not use.
+	Declared(item subscriber.Item) (Declared, error)
+	// Endpoint reads a record of the endpoints' topic.
+	Endpoint(item subscriber.Item) (tracker.Registration, error)
+}
+
+// Declared is one record of the operators' topic.
+type Declared struct {
+	Declaration *matcher.Declaration
+	Order       *Order
+	// Withdrawn is the service whose order was dropped.
+	Withdrawn string
+}
+
+// Process is what a daemon takes from its process.
+type Process struct {
+	Network    connector.Network
+	Translator Translator
+	// Operator and Endpoints are the topics to follow.
+	Operator  subscriber.Source
+	Endpoints subscriber.Source
+	Clock     subscriber.Clock
+	Logs      io.Writer
+	// Reload yields when the settings may have changed.
+	Reload <-chan struct{}
+}
+
+const (
+	// operatorWait is how long a read waits for a declaration. The age of the
+	// proof of reading stays well under the time that a key may outlive its
+	// withdrawal.
+	operatorWait = 2 * time.Second
+	// endpointsWait is how long a read waits for a registration.
+	endpointsWait = 4 * time.Second
+	// sweepInterval is how often idle connections are looked at.
+	sweepInterval = time.Second
+)
+
+// Runner is one entry daemon.
+type Runner struct {
+	settings Settings
+	process  Process
+	logger   hclog.Logger
+	noter    *noter.Noter
+
+	system      *actor.ActorSystem
+	declaration *keeper.Keeper[declared, declaredView]
+	declared    *subscriber.Subscriber
+	registered  *subscriber.Subscriber
+	tracker     *tracker.Tracker
+	exchanger   *exchanger.Exchanger
+	forwarder   *forwarder.Forwarder
+	metrics     *metrics.Set
+	stopping    atomic.Bool
+	listeners   listeners
+	callers     *http.Server
+	others      []*http.Server
+}
+
+type listeners struct {
+	callers net.Listener
+	ready   net.Listener
+	metrics net.Listener
+}
+
+// New builds a daemon and opens its listeners.
+func New(settings Settings, process Process) (*Runner, error) {
+	lines := noter.New(process.Logs)
+	r := &Runner{
+		settings: settings,
+		process:  process,
+		noter:    lines,
+		logger:   lines.Logger("entry", settings.Level),
+		system:   keeper.NewSystem(),
+		metrics:  metrics.NewSet(),
+	}
+	r.declaration = keeper.New(r.system, newDeclared(), (*declared).view)
+	random := rand.New(rand.NewPCG(uint64(time.Now().UnixNano()), uint64(process.Clock())))
+	r.tracker = tracker.New(settings.Zone, random, time.Now, r.logger)
+	codec := process.Translator
+	r.exchanger = exchanger.New(process.Network, func(status int, answer, request http.Header) bool {
+		return owns(codec.Notes(status, answer), status, codec.Notes(0, request).ID)
+	})
+	r.forwarder = forwarder.New(forwarder.Parts{
+		Codec:     codec,
+		Believer:  r,
+		Tracker:   r.tracker,
+		Exchanger: r.exchanger,
+		Budgets:   forwarder.NewBudgets(repeatShare*settings.Repeats, repeatBurst),
+		Logger:    r.logger,
+		Counters:  forwarder.NewCounters(r.metrics),
+	})
+	r.declared = subscriber.New("operator", process.Operator, operatorWait, process.Clock, r.takeDeclared, r.logger)
+	r.registered = subscriber.New("endpoints", process.Endpoints, endpointsWait, process.Clock, r.takeRegistered, r.logger)
+	return r, r.listen()
+}
+
+const (
+	// repeatShare is the share of the allowed repeats that a daemon uses, since
+	// those of clients count too.
+	repeatShare = 0.85
+	// repeatBurst bounds the repeats that a daemon saves up for one service.
+	repeatBurst = 8
+)
+
+// owns reports whether an answer belongs to the request. Only a refusal may
+// come without an id.
+func owns(notes forwarder.Notes, status int, id string) bool {
+	if notes.ID == "" {
+		return status >= http.StatusMultipleChoices
+	}
+	return notes.ID == id
+}
+
+func (r *Runner) listen() error {
+	var err error
+	if r.listeners.callers, err = r.process.Network.Listen(r.settings.Callers); err != nil {
+		return errors.Wrap(err, "listen for callers")
+	}
+	if r.listeners.ready, err = r.process.Network.Listen(r.settings.Ready); err != nil {
+		return errors.Wrap(err, "listen for readiness checks")
+	}
+	if r.listeners.metrics, err = r.process.Network.Listen(r.settings.Metrics); err != nil {
+		return errors.Wrap(err, "listen for metrics")
+	}
+	return nil
+}
+
+// Run serves until ctx ends, then stops in order: unready, drain, close.
+func (r *Runner) Run(ctx context.Context) error {
+	work, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	group, groupCtx := errgroup.WithContext(work)
+	r.start(groupCtx, group)
+	r.logger.Info("daemon started", "name", r.settings.Name, "zone", r.settings.Zone, "callers", r.settings.Callers, "store", r.settings.Store)
+	select {
+	case <-ctx.Done():
+		r.stop(work)
+	case <-groupCtx.Done():
+	}
+	r.logger.Info("daemon stopped", "name", r.settings.Name)
+	cancel()
+	for _, serving := range r.others {
+		_ = serving.Close()
+	}
+	_ = r.callers.Close()
+	r.exchanger.Close()
+	err := group.Wait()
+	r.declaration.Stop()
+	r.system.Shutdown()
+	if err != nil && !errors.Is(err, context.Canceled) {
+		return err
+	}
+	return nil
+}
+
+// start runs the parts.
+func (r *Runner) start(ctx context.Context, group *errgroup.Group) {
+	run := func(part func(context.Context) error) {
+		group.Go(func() error { return part(ctx) })
+	}
+	run(r.noter.Run)
+	run(r.declared.Run)
+	run(r.registered.Run)
+	run(r.sweep)
+	run(r.reload)
+	r.callers = r.server(r.forwarder)
+	r.serve(group, r.callers, r.listeners.callers)
+	for _, serving := range []struct {
+		listener net.Listener
+		handler  http.Handler
+	}{
+		{r.listeners.ready, http.HandlerFunc(r.answerReady)},
+		{r.listeners.metrics, http.HandlerFunc(r.answerMetrics)},
+	} {
+		other := r.server(serving.handler)
+		r.others = append(r.others, other)
+		r.serve(group, other, serving.listener)
+	}
+}
+
+const (
+	// headerTimeout bounds the time to read a header, idleTimeout the time that a
+	// client's connection may be idle.
+	headerTimeout = 10 * time.Second
+	idleTimeout   = 90 * time.Second
+	maxHeader     = 64 << 10
+)
+
+func (r *Runner) server(handler http.Handler) *http.Server {
+	return &http.Server{
+		Handler:           handler,
+		ReadHeaderTimeout: headerTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    maxHeader,
+		ErrorLog:          r.logger.StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug}),
+	}
+}
+
+func (r *Runner) serve(group *errgroup.Group, serving *http.Server, listener net.Listener) {
+	group.Go(func() error {
+		if err := serving.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+			return err
+		}
+		return nil
+	})
+}
+
+// sweep closes connections that were idle for too long.
+func (r *Runner) sweep(ctx context.Context) error {
+	ticker := time.NewTicker(sweepInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+			r.exchanger.Sweep()
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+// reload takes note of changed settings. None of them changes while a process
+// runs, so that nothing is cut.
+func (r *Runner) reload(ctx context.Context) error {
+	for {
+		select {
+		case <-r.process.Reload:
+			r.logger.Info("reload asked for; settings of a running process do not change")
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+// answerReady tells the balancer whether the daemon takes connections.
+func (r *Runner) answerReady(writer http.ResponseWriter, _ *http.Request) {
+	view := r.View()
+	if view.Stopping || view.Table == nil || !view.Fresh {
+		http.Error(writer, "not ready", http.StatusServiceUnavailable)
+		return
+	}
+	_, _ = writer.Write([]byte("ready\n"))
+}
+
+func (r *Runner) answerMetrics(writer http.ResponseWriter, _ *http.Request) {
+	r.metrics.WritePrometheus(writer)
+	metrics.WriteProcessMetrics(writer)
+}
--- /dev/null
+++ b/internal/runner/stop.go
@@ -0,0 +1,31 @@
+package runner
+
+import (
+	"context"
+	"time"
+
+	"github.com/go-faster/errors"
+)
+
+const (
+	// unreadyTime is how long a stopping daemon goes on taking connections: the
+	// balancer asks once a second and needs two misses.
+	unreadyTime = 2600 * time.Millisecond
+	// stopMargin is kept free at the end of the grace, for the process to end.
+	stopMargin = 700 * time.Millisecond
+)
+
+// stop makes the daemon unready, lets requests end and closes connections.
+func (r *Runner) stop(ctx context.Context) {
+	r.logger.Info("stop began", "grace", r.settings.Grace)
+	r.stopping.Store(true)
+	ctx, cancel := context.WithTimeout(ctx, r.settings.Grace-stopMargin)
+	defer cancel()
+	select {
+	case <-time.After(unreadyTime):
+	case <-ctx.Done():
+	}
+	if err := r.callers.Shutdown(ctx); err != nil && !errors.Is(err, context.Canceled) {
+		r.logger.Warn("requests were still running at the end of the grace", "error", err)
+	}
+}
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -173,7 +173,7 @@
 
 // buildState starts the actors that own the daemon's state.
 func (s *Server) buildState() {
-	s.system = actor.NewActorSystem(actor.WithLoggerFactory(quietLogger))
+	s.system = keeper.NewSystem()
 	s.settings = keeper.New(s.system, newConfigState(), (*configState).view)
 	self := gossiper.Member{
 		Name:        s.config.Name,
--- a/internal/server/state.go
+++ b/internal/server/state.go
@@ -2,14 +2,10 @@
 
 import (
 	"context"
-	"io"
-	"log/slog"
 	"net/netip"
 	"strings"
 	"time"
 
-	"github.com/asynkron/protoactor-go/actor"
-
 	"quetzalgrade.example/quetzalgrade/internal/assessor"
 	"quetzalgrade.example/quetzalgrade/internal/compiler"
 	"quetzalgrade.example/quetzalgrade/internal/configurator"
@@ -19,11 +15,6 @@
 	"quetzalgrade.example/quetzalgrade/pkg/schema"
 )
 
-// quietLogger silences the actor library; the daemon logs through hclog.
-func quietLogger(*actor.ActorSystem) *slog.Logger {
-	return slog.New(slog.NewTextHandler(io.Discard, nil))
-}
-
 // configState is the configuration as its actor owns it.
 type configState struct {
 	fold     *configurator.Fold
--- /dev/null
+++ b/internal/subscriber/subscriber.go
@@ -0,0 +1,230 @@
+// Package subscriber follows a topic of keyed records and keeps the newest
+// record of each key. It knows how old the proof is that it has read to the
+// topic's end.
+package subscriber
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/hashicorp/go-hclog"
+)
+
+// ErrExpired is returned by a source whose records from the offset on are gone.
+var ErrExpired = errors.New("records have expired")
+
+// Item is a record; an empty value drops its key.
+type Item struct {
+	Key    string
+	Value  []byte
+	Offset int64
+}
+
+// Page is the answer to one read.
+type Page struct {
+	Items []Item
+	// Next is the offset after the last item, End that of the next append.
+	Next int64
+	End  int64
+}
+
+// Source is one keyed topic.
+type Source interface {
+	// Newest returns the newest record of each key and an offset from which
+	// Read returns everything that is newer.
+	Newest(ctx context.Context) ([]Item, int64, error)
+	// Read returns the records from an offset on. It waits for one at most the
+	// given time. The error is ErrExpired when they are gone.
+	Read(ctx context.Context, from int64, wait time.Duration) (Page, error)
+}
+
+// Change is what a subscriber hands on.
+type Change struct {
+	// Whole is set when the items are all records of the topic: keys that are
+	// missing are gone.
+	Whole bool
+	Items []Item
+	// Outage is how long the source had not answered before.
+	Outage time.Duration
+}
+
+// Clock returns the time since some fixed moment. It goes on while the machine
+// is suspended.
+type Clock func() time.Duration
+
+const (
+	// answerSlack is how long an answer may take beyond the wait asked for. A
+	// connection that went silent is noticed after it.
+	answerSlack = 700 * time.Millisecond
+	// newestTimeout bounds one read of all keys.
+	newestTimeout = 1500 * time.Millisecond
+	// minBackoff and maxBackoff bound the pause after a failed read.
+	minBackoff = 50 * time.Millisecond
+	maxBackoff = 400 * time.Millisecond
+	// outageAfter is the age of the last answer at which the source counts as
+	// away.
+	outageAfter = time.Second
+)
+
+// Subscriber follows one topic.
+type Subscriber struct {
+	name   string
+	source Source
+	wait   time.Duration
+	clock  Clock
+	handle func(Change)
+	logger hclog.Logger
+
+	// next is the offset to read from; it is used by Run alone.
+	next  int64
+	known bool
+
+	mu      sync.Mutex
+	proof   time.Duration
+	proven  bool
+	failing bool
+	calls   uint64
+	// answered is the time of the last answer, by the clock.
+	answered time.Duration
+}
+
+// New returns a subscriber that lets reads wait for records. The handler is
+// called from Run, one change at a time.
+func New(name string, source Source, wait time.Duration, clock Clock, handle func(Change), logger hclog.Logger) *Subscriber {
+	return &Subscriber{name: name, source: source, wait: wait, clock: clock, handle: handle, logger: logger}
+}
+
+// Run follows the topic until ctx ends.
+func (s *Subscriber) Run(ctx context.Context) error {
+	backoff := minBackoff
+	for ctx.Err() == nil {
+		err := s.step(ctx)
+		if ctx.Err() != nil {
+			break
+		}
+		s.note(err)
+		if err == nil {
+			backoff = minBackoff
+			continue
+		}
+		pause := time.Duration((0.5 + rand.Float64()/2) * float64(backoff))
+		backoff = min(2*backoff, maxBackoff)
+		select {
+		case <-time.After(pause):
+		case <-ctx.Done():
+		}
+	}
+	return ctx.Err()
+}
+
+// step makes one read.
+func (s *Subscriber) step(ctx context.Context) error {
+	if !s.known {
+		return s.readAll(ctx)
+	}
+	asked := s.clock()
+	wait := s.wait
+	if s.failed() {
+		// A source that comes back is asked for what it has, so that the proof is
+		// fresh at once.
+		wait = 0
+	}
+	bounded, cancel := context.WithTimeout(ctx, wait+answerSlack)
+	defer cancel()
+	page, err := s.source.Read(bounded, s.next, wait)
+	if errors.Is(err, ErrExpired) {
+		s.logger.Info("records expired unread; reading all keys", "topic", s.name, "offset", s.next)
+		s.known = false
+		return nil
+	}
+	if err != nil {
+		return err
+	}
+	s.next = page.Next
+	if len(page.Items) > 0 {
+		s.handle(Change{Items: page.Items, Outage: s.outage()})
+	}
+	s.prove(asked, page.Next >= page.End)
+	return nil
+}
+
+func (s *Subscriber) readAll(ctx context.Context) error {
+	asked := s.clock()
+	bounded, cancel := context.WithTimeout(ctx, newestTimeout)
+	defer cancel()
+	items, next, err := s.source.Newest(bounded)
+	if err != nil {
+		return err
+	}
+	s.next = next
+	s.known = true
+	s.handle(Change{Whole: true, Items: items, Outage: s.outage()})
+	s.prove(asked, true)
+	return nil
+}
+
+// prove records that everything written before the time was read.
+func (s *Subscriber) prove(asked time.Duration, atEnd bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.answered = s.clock()
+	if atEnd {
+		s.proof = asked
+		s.proven = true
+	}
+}
+
+// outage returns for how long the source has not answered, when that is long.
+func (s *Subscriber) outage() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	silent := s.clock() - s.answered - s.wait
+	if !s.proven || silent < outageAfter {
+		return 0
+	}
+	return silent
+}
+
+func (s *Subscriber) failed() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.failing
+}
+
+// note records the result of a read and logs when the source is lost or back.
+func (s *Subscriber) note(err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.calls++
+	failing := err != nil
+	if failing == s.failing {
+		return
+	}
+	s.failing = failing
+	if failing {
+		s.logger.Warn("log cannot be read", "topic", s.name, "error", err, "proof_age", s.clock()-s.proof)
+		return
+	}
+	s.logger.Info("log can be read again", "topic", s.name, "offset", s.next)
+}
+
+// Age returns how old the proof is that everything was read; ok is false
+// before the first.
+func (s *Subscriber) Age() (age time.Duration, ok bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.clock() - s.proof, s.proven
+}
+
+// Failing reports whether the latest read failed.
+func (s *Subscriber) Failing() bool { return s.failed() }
+
+// Calls returns the number of reads.
+func (s *Subscriber) Calls() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.calls
+}
--- /dev/null
+++ b/internal/tracker/tracker.go
@@ -0,0 +1,370 @@
+// Package tracker keeps the endpoints that have registered themselves: which
+// may get work, how much they have and how they do.
+package tracker
+
+import (
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"quetzalgrade.example/quetzalgrade/internal/picker"
+)
+
+// Registration is what an endpoint says of itself.
+type Registration struct {
+	ID      string
+	Service string
+	Address netip.AddrPort
+	Zone    string
+	Version string
+	Slots   int
+	// Leaving endpoints take no new work.
+	Leaving bool
+	// Sequence orders the registrations of one start.
+	Sequence int64
+	// Cold is how much longer the endpoint is slow after its start.
+	Cold time.Duration
+	// Started tells apart two lives of one id.
+	Started time.Time
+	Models  []string
+}
+
+// olderThan reports whether the registration is superseded by another of the
+// same id.
+func (r Registration) olderThan(other Registration) bool {
+	if !r.Started.Equal(other.Started) {
+		return r.Started.Before(other.Started)
+	}
+	return r.Sequence < other.Sequence
+}
+
+const (
+	// lapseGrace is how long an endpoint whose record vanished while the log was
+	// away is kept: it registers again within about two seconds.
+	lapseGrace = 2200 * time.Millisecond
+	// reportLife is how long a load that an answer carried counts.
+	reportLife = time.Second
+)
+
+// state is the view of one endpoint.
+type state struct {
+	Registration
+	inflight int
+	// tokens is the sum of the prompt tokens of the requests in flight.
+	tokens int
+	// others is the load that came from other daemons at the newest report.
+	others   int
+	reported time.Time
+	// misdirected is set when another endpoint answered at the address.
+	misdirected bool
+	// lapses is when an endpoint without a record is forgotten; zero for never.
+	lapses time.Time
+}
+
+// Tracker keeps the endpoints. It is safe for concurrent use.
+type Tracker struct {
+	mu        sync.Mutex
+	endpoints map[string]*state
+	health    map[string]*picker.Health
+	zone      string
+	random    *rand.Rand
+	now       func() time.Time
+	logger    hclog.Logger
+	ejections uint64
+}
+
+// New returns a tracker without endpoints for a daemon in the zone.
+func New(zone string, random *rand.Rand, now func() time.Time, logger hclog.Logger) *Tracker {
+	return &Tracker{
+		endpoints: map[string]*state{},
+		health:    map[string]*picker.Health{},
+		zone:      zone,
+		random:    random,
+		now:       now,
+		logger:    logger,
+	}
+}
+
+// Put takes a registration. One that is older than what is known is ignored.
+func (t *Tracker) Put(registration Registration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	known := t.endpoints[registration.ID]
+	if known == nil {
+		known = &state{}
+		t.endpoints[registration.ID] = known
+		t.healthOf(registration.Service).Forget(registration.Address)
+		t.logChange("endpoint appeared", registration)
+	} else {
+		if registration.olderThan(known.Registration) {
+			return
+		}
+		t.update(known, registration)
+	}
+	known.Registration = registration
+	known.lapses = time.Time{}
+}
+
+func (t *Tracker) update(known *state, registration Registration) {
+	if !known.Started.Equal(registration.Started) || known.Address != registration.Address {
+		t.logChange("endpoint started again", registration)
+		t.healthOf(registration.Service).Forget(registration.Address)
+		known.others = 0
+		known.misdirected = false
+		return
+	}
+	if registration.Leaving && !known.Leaving {
+		t.logChange("endpoint is leaving", registration)
+	}
+}
+
+func (t *Tracker) logChange(message string, registration Registration) {
+	t.logger.Info(message, "endpoint", registration.ID, "service", registration.Service, "version", registration.Version,
+		"address", registration.Address, "zone", registration.Zone, "slots", registration.Slots, "sequence", registration.Sequence)
+}
+
+// Drop forgets an endpoint whose record is gone. After an outage of the log it
+// is kept for a while, since a record may have lapsed although its endpoint
+// lives.
+func (t *Tracker) Drop(id string, outage bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.drop(id, outage)
+}
+
+func (t *Tracker) drop(id string, outage bool) {
+	known := t.endpoints[id]
+	if known == nil {
+		return
+	}
+	if !outage || known.Leaving {
+		t.logChange("endpoint is gone", known.Registration)
+		delete(t.endpoints, id)
+		return
+	}
+	if known.lapses.IsZero() {
+		t.logChange("record of an endpoint lapsed while the log was away", known.Registration)
+		known.lapses = t.now().Add(lapseGrace)
+	}
+}
+
+// Retain drops the endpoints that are not among the ids.
+func (t *Tracker) Retain(ids map[string]bool, outage bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for id := range t.endpoints {
+		if !ids[id] {
+			t.drop(id, outage)
+		}
+	}
+}
+
+func (t *Tracker) healthOf(service string) *picker.Health {
+	known := t.health[service]
+	if known == nil {
+		known = picker.NewHealth()
+		t.health[service] = known
+	}
+	return known
+}
+
+// usable reports whether the endpoint may get work.
+func (t *Tracker) usable(known *state, now time.Time) bool {
+	if known.Leaving || known.misdirected {
+		return false
+	}
+	if !known.lapses.IsZero() && now.After(known.lapses) {
+		t.logChange("endpoint is gone", known.Registration)
+		delete(t.endpoints, known.ID)
+		return false
+	}
+	return true
+}
+
+// Query is what the choice of an endpoint depends on.
+type Query struct {
+	Service string
+	// Version restricts the choice to endpoints of a version; empty for any.
+	Version string
+	// Except leaves out the endpoints of a version; empty for none.
+	Except string
+	// Model must be loaded; empty for any.
+	Model string
+	// Prefix hashes the start of the prompt; 0 for none.
+	Prefix uint64
+	// Tokens is the length of the prompt.
+	Tokens int
+	// Tried endpoints are not chosen again.
+	Tried []string
+}
+
+func (q *Query) fits(known *state) bool {
+	if known.Service != q.Service || slices.Contains(q.Tried, known.ID) {
+		return false
+	}
+	if q.Version != "" && known.Version != q.Version || q.Except != "" && known.Version == q.Except {
+		return false
+	}
+	return q.Model == "" || len(known.Models) == 0 || slices.Contains(known.Models, q.Model)
+}
+
+// Choice is an endpoint that was chosen for a request.
+type Choice struct {
+	tracker *Tracker
+	state   *state
+	tokens  int
+	ended   bool
+	Registration
+	// Load is the load that the choice was made on.
+	Load int
+	// ReportAge is the age of the newest report of the endpoint's load.
+	ReportAge time.Duration
+}
+
+// Pick chooses an endpoint and counts a request on it. End must be called when
+// the request has ended there.
+func (t *Tracker) Pick(query Query) (*Choice, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := t.now()
+	health := t.healthOf(query.Service)
+	var views []picker.Endpoint
+	var states []*state
+	for _, known := range t.endpoints {
+		if !query.fits(known) || !t.usable(known, now) {
+			continue
+		}
+		views = append(views, t.view(known, health, now))
+		states = append(states, known)
+	}
+	chosen, ok := picker.Pick(picker.Request{Zone: t.zone, Prefix: query.Prefix}, views, picker.Options{}, 0, t.random)
+	if !ok {
+		return nil, false
+	}
+	at := slices.IndexFunc(states, func(known *state) bool { return known.Address == chosen.Address })
+	known := states[at]
+	known.inflight++
+	known.tokens += query.Tokens
+	return &Choice{
+		tracker:      t,
+		state:        known,
+		tokens:       query.Tokens,
+		Registration: known.Registration,
+		Load:         chosen.Load,
+		ReportAge:    now.Sub(known.reported),
+	}, true
+}
+
+func (t *Tracker) view(known *state, health *picker.Health, now time.Time) picker.Endpoint {
+	load := known.inflight
+	if now.Sub(known.reported) < reportLife {
+		load += known.others
+	}
+	return picker.Endpoint{
+		Address:  known.Address,
+		Zone:     known.Zone,
+		Slots:    known.Slots,
+		Load:     load,
+		Slowness: health.Slowness(known.Address),
+		Ejected:  health.Ejected(known.Address, now),
+		Probing:  health.Probing(known.Address),
+	}
+}
+
+// Outcome is how a request ended at an endpoint.
+type Outcome int
+
+// The outcomes.
+const (
+	// Neutral says nothing of the endpoint.
+	Neutral Outcome = iota
+	// Good is an answer.
+	Good
+	// Bad is a failure that the endpoint is to blame for.
+	Bad
+)
+
+// End records how the request ended. Pace is the time per event of a stream, or
+// 0 when unknown. Only the first call counts.
+func (c *Choice) End(outcome Outcome, pace time.Duration) {
+	t := c.tracker
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if c.ended {
+		return
+	}
+	c.ended = true
+	c.state.inflight--
+	c.state.tokens -= c.tokens
+	if outcome == Neutral {
+		return
+	}
+	now := t.now()
+	health := t.healthOf(c.Service)
+	if outcome == Bad {
+		health.Failed(c.Address, now)
+	} else {
+		health.Succeeded(c.Address, pace, now)
+		health.Recover(c.Address, now)
+	}
+	if health.Judge(c.Address, t.count(c.Service), now) {
+		t.ejections++
+		t.logChange("endpoint ejected for its results", c.Registration)
+	}
+}
+
+func (t *Tracker) count(service string) int {
+	count := 0
+	for _, known := range t.endpoints {
+		if known.Service == service && !known.Leaving {
+			count++
+		}
+	}
+	return count
+}
+
+// Report takes the load that an answer carried.
+func (c *Choice) Report(running, waiting int) {
+	t := c.tracker
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	c.state.others = max(0, running+waiting-c.state.inflight)
+	c.state.reported = t.now()
+}
+
+// Misdirected records that another endpoint has the address.
+func (c *Choice) Misdirected() {
+	t := c.tracker
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if !c.state.misdirected && c.state.Started.Equal(c.Started) {
+		c.state.misdirected = true
+		t.logChange("another endpoint has the address", c.Registration)
+	}
+}
+
+// Versions returns the versions of a service's usable endpoints with their
+// number.
+func (t *Tracker) Versions(service string) map[string]int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := t.now()
+	versions := map[string]int{}
+	for _, known := range t.endpoints {
+		if known.Service == service && t.usable(known, now) {
+			versions[known.Version]++
+		}
+	}
+	return versions
+}
+
+// Counts returns the number of endpoints and of ejections so far.
+func (t *Tracker) Counts() (endpoints int, ejections uint64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return len(t.endpoints), t.ejections
+}
