Let the smallest model look first

Change: internal/sizer decides from the confidence whether an answer is kept or dropped for a larger model; the forwarder drops it at its header.

--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -12,6 +12,7 @@
 	"quetzalgrade.example/quetzalgrade/internal/classifier"
 	"quetzalgrade.example/quetzalgrade/internal/exchanger"
 	"quetzalgrade.example/quetzalgrade/internal/matcher"
+	"quetzalgrade.example/quetzalgrade/internal/sizer"
 	"quetzalgrade.example/quetzalgrade/internal/tracker"
 )
 
@@ -34,6 +35,8 @@
 	unrun
 	// failed: the endpoint may have run it, and nothing usable came.
 	failed
+	// dropped: the answer is left for one of a larger model.
+	dropped
 )
 
 // run offers the request to endpoints until one has answered.
@@ -41,13 +44,15 @@
 	budget := c.Budgets.Of(c.route.Service)
 	budget.Request()
 	c.after = c.After
+	c.size = sizer.First(c.costs())
 	var held *answer
 	last := classifier.New(classifier.NoEndpoint, "no endpoint of service %q takes work", c.route.Service)
 	for sends := 0; sends < maxSends; sends++ {
-		if sends > 0 && !budget.Spend() {
+		if sends > 0 && !c.paid && !budget.Spend() {
 			last = classifier.Wrap(last.Kind, last, "no more repeats are allowed now")
 			break
 		}
+		c.paid = false
 		choice, ok := c.pick()
 		if !ok {
 			break
@@ -78,7 +83,7 @@
 
 // mayRepeat reports whether another endpoint may get the request.
 func (c *call) mayRepeat(outcome verdict) bool {
-	if outcome == unrun {
+	if outcome == unrun || outcome == dropped {
 		return true
 	}
 	return c.route.Repeats() && c.runs < c.route.Attempts
@@ -103,7 +108,7 @@
 	if !c.ModelFree || len(c.route.Sizes) == 0 {
 		return ""
 	}
-	return c.route.Sizes[len(c.route.Sizes)/2]
+	return c.route.Sizes[c.size]
 }
 
 // prefix hashes the parts that the request shares with others.
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -14,6 +14,7 @@
 	"quetzalgrade.example/quetzalgrade/internal/classifier"
 	"quetzalgrade.example/quetzalgrade/internal/exchanger"
 	"quetzalgrade.example/quetzalgrade/internal/matcher"
+	"quetzalgrade.example/quetzalgrade/internal/sizer"
 	"quetzalgrade.example/quetzalgrade/internal/tracker"
 )
 
@@ -151,6 +152,12 @@
 	tried []string
 	// runs counts the endpoints that may have run it.
 	runs int
+	// size is the index of the model that the request runs on, looks are the
+	// confidences of those that it has run on.
+	size  int
+	looks []sizer.Look
+	// paid is set when the next repeat has been taken from the budget.
+	paid bool
 	// begun is set when part of the answer has been passed on.
 	begun bool
 	// after is the last event that was passed on.
--- /dev/null
+++ b/internal/forwarder/size.go
@@ -0,0 +1,54 @@
+package forwarder
+
+import (
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"quetzalgrade.example/quetzalgrade/internal/sizer"
+	"quetzalgrade.example/quetzalgrade/internal/tracker"
+)
+
+// minLeft is the share of the deadline that must be left for another run.
+const minLeft = 0.5
+
+// costs returns the prices of the sizes that the request may run on, smallest
+// first; nil when the model is not the router's choice.
+func (c *call) costs() []float64 {
+	if !c.ModelFree || len(c.route.Sizes) == 0 {
+		return nil
+	}
+	service := c.view.Table.Service(c.route.Service)
+	if service == nil {
+		return nil
+	}
+	costs := make([]float64, len(c.route.Sizes))
+	for i, model := range c.route.Sizes {
+		costs[i] = service.Costs[model]
+	}
+	return costs
+}
+
+// outgrown decides whether the answer that begins is dropped for one of a
+// larger model. It sets the size to run on next and pays for the repeat.
+func (c *call) outgrown(choice *tracker.Choice, notes Notes) bool {
+	costs := c.costs()
+	if c.begun || c.after > 0 || costs == nil || notes.Confidence < 0 {
+		return false
+	}
+	c.looks = append(c.looks, sizer.Look{Size: c.size, Confidence: notes.Confidence})
+	size, keep := sizer.Next(sizer.Question{Costs: costs, Looks: c.looks, Runs: c.route.Attempts - c.runs})
+	if keep || time.Until(c.deadline) < time.Duration(minLeft*float64(c.patience())) {
+		return false
+	}
+	if !c.Budgets.Of(c.route.Service).Spend() {
+		return false
+	}
+	c.log(hclog.Info, "answer dropped for a larger model", c.about(choice, "confidence", notes.Confidence, "next", c.route.Sizes[size])...)
+	choice.End(tracker.Good, 0)
+	c.paid = true
+	c.size = size
+	// The endpoint holds the prompt now; the larger model may run there too.
+	c.tried = c.tried[:len(c.tried)-1]
+	return true
+}
--- a/internal/forwarder/stream.go
+++ b/internal/forwarder/stream.go
@@ -65,6 +65,9 @@
 // stream passes an answer on event by event.
 func (c *call) stream(ctx context.Context, choice *tracker.Choice, reply *exchanger.Reply, notes Notes, began time.Time) (verdict, *answer, *classifier.Error) {
 	err := sound(reply.Status, notes)
+	if err == nil && c.outgrown(choice, notes) {
+		return dropped, nil, nil
+	}
 	cut := &events{last: c.after}
 	first := time.Duration(0)
 	buffer := make([]byte, pieceBytes)
@@ -86,7 +89,7 @@
 		c.Believer.Ran(c.route.Service, choice.Version, c.route.Name, c.Session, true, first)
 		c.Counters.Served.Inc()
 		c.Counters.Whole.UpdateDuration(c.arrived)
-		c.log(hclog.Debug, "stream served", c.about(choice, "first", first, "events", cut.count, "confidence", notes.Confidence)...)
+		c.log(hclog.Info, "stream served", c.about(choice, "first", first, "events", cut.count, "confidence", notes.Confidence)...)
 		return done, nil, nil
 	}
 	return c.broken(ctx, choice, err, cut)
