Drive roll-outs by progress that daemons agree on in the log

Change: promoter decides from an order's age, pooled doubts and endpoints; progress is written on condition that the topic has not moved; sessions keep their version; the few requests of a trial go to few endpoints. An empty long poll proves reading up to its end, so reads may wait longer.

--- a/internal/commander/entry.go
+++ b/internal/commander/entry.go
@@ -57,6 +57,8 @@
 		Translator: platform.Translator{},
 		Operator:   log.Operator(),
 		Endpoints:  log.Endpoints(),
+		Status:     log.Status(),
+		Results:    log.Results(),
 		Clock:      runner.SinceBoot,
 		Logs:       logs,
 		Reload:     reload,
--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -90,11 +90,12 @@
 }
 
 func (c *call) pick() (*tracker.Choice, bool) {
-	only, except := c.Believer.Version(c.route.Service, c.Session)
+	constraint := c.Believer.Version(c.route.Service, c.session(), c.suspect)
 	return c.Tracker.Pick(tracker.Query{
 		Service: c.route.Service,
-		Version: only,
-		Except:  except,
+		Version: constraint.Only,
+		Except:  constraint.Except,
+		Subset:  constraint.Subset,
 		Model:   c.model(),
 		Prefix:  c.prefix(),
 		Tokens:  c.Prompt,
@@ -102,6 +103,30 @@
 	})
 }
 
+// session names what the request belongs to; one without a session stands for
+// itself.
+func (c *call) session() string {
+	if c.Session == "" {
+		return c.ID
+	}
+	return c.Session
+}
+
+// ran records a result of the endpoint's version.
+func (c *call) ran(choice *tracker.Choice, good bool, first, pace time.Duration) {
+	c.suspect = c.suspect || !good
+	c.Believer.Ran(Result{
+		Service:  c.route.Service,
+		Version:  choice.Version,
+		Endpoint: choice.ID,
+		Route:    c.route.Name,
+		Model:    c.model(),
+		Good:     good,
+		First:    first,
+		Pace:     pace,
+	})
+}
+
 // model returns the size of model to run the request on; empty to leave the
 // client's choice.
 func (c *call) model() string {
@@ -161,10 +186,11 @@
 		return c.refused(choice, reply, notes)
 	}
 	c.runs++
+	c.headed = time.Since(began)
 	if reply.Status == http.StatusOK && c.route.Kind == matcher.Stream {
-		return c.stream(ctx, choice, reply, notes, began)
+		return c.stream(ctx, choice, reply, notes)
 	}
-	return c.whole(ctx, choice, reply, notes, began)
+	return c.whole(ctx, choice, reply, notes)
 }
 
 // unanswered handles an attempt without an answer.
@@ -177,6 +203,8 @@
 	}
 	if ctx.Err() != nil {
 		blame = tracker.Neutral
+	} else if outcome == failed {
+		c.ran(choice, false, 0, 0)
 	}
 	choice.End(blame, 0)
 	c.log(hclog.Info, "attempt without answer", c.about(choice, "error", failure.Err, "sent", failure.Stage == exchanger.Sent)...)
@@ -205,9 +233,9 @@
 }
 
 // whole reads an answer to its end and passes it on.
-func (c *call) whole(ctx context.Context, choice *tracker.Choice, reply *exchanger.Reply, notes Notes, began time.Time) (verdict, *answer, *classifier.Error) {
+func (c *call) whole(ctx context.Context, choice *tracker.Choice, reply *exchanger.Reply, notes Notes) (verdict, *answer, *classifier.Error) {
 	body, err := io.ReadAll(io.LimitReader(reply, maxAnswer))
-	took := time.Since(began)
+	took := c.headed
 	if err == nil {
 		err = sound(reply.Status, notes)
 	}
@@ -216,13 +244,16 @@
 		if ctx.Err() != nil {
 			blame = tracker.Neutral
 		}
+		if blame == tracker.Bad {
+			c.ran(choice, false, 0, 0)
+		}
 		choice.End(blame, 0)
 		c.log(hclog.Info, "answer is spoilt", c.about(choice, "error", err, "status", reply.Status)...)
 		return failed, nil, classifier.Wrap(classifier.EndpointFailed, err, "the answer of endpoint %s is spoilt", choice.ID)
 	}
 	got := &answer{status: reply.Status, header: c.Codec.Reply(reply.Header), body: body}
 	good := reply.Status < http.StatusInternalServerError
-	c.Believer.Ran(c.route.Service, choice.Version, c.route.Name, c.Session, good, took)
+	c.ran(choice, good, took, 0)
 	if !good {
 		choice.End(tracker.Bad, 0)
 		c.log(hclog.Info, "endpoint failed", c.about(choice, "status", reply.Status)...)
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -109,11 +109,36 @@
 // Believer tells what the daemon believes.
 type Believer interface {
 	View() View
-	// Version returns the version that a session's request to a service must run
-	// on and the one that it must not; empty for no constraint.
-	Version(service, session string) (only, except string)
+	// Version returns the version that a request of a session must run on. Failed
+	// is set when the request has already failed on the version of a roll-out.
+	Version(service, session string, failed bool) Constraint
 	// Ran records a result of a version.
-	Ran(service, version, route string, session string, good bool, took time.Duration)
+	Ran(result Result)
+}
+
+// Constraint restricts the endpoints of a request to versions.
+type Constraint struct {
+	// Only and Except are versions; empty for no constraint.
+	Only   string
+	Except string
+	// Subset is the share of the fitting endpoints that are used; 0 for all. A
+	// new version is seen under its usual load when its few requests go to few
+	// endpoints.
+	Subset float64
+}
+
+// Result is how a request ran on a version.
+type Result struct {
+	Service  string
+	Version  string
+	Endpoint string
+	Route    string
+	Model    string
+	Good     bool
+	// First is the time to the head of the answer, Pace the time per event after
+	// it; 0 when unknown.
+	First time.Duration
+	Pace  time.Duration
 }
 
 // Parts are what a forwarder works with.
@@ -158,6 +183,10 @@
 	looks []sizer.Look
 	// paid is set when the next repeat has been taken from the budget.
 	paid bool
+	// suspect is set when the request has failed on the version of a roll-out.
+	suspect bool
+	// headed is the time from the latest attempt to the head of its answer.
+	headed time.Duration
 	// begun is set when part of the answer has been passed on.
 	begun bool
 	// after is the last event that was passed on.
--- a/internal/forwarder/stream.go
+++ b/internal/forwarder/stream.go
@@ -63,21 +63,18 @@
 }
 
 // stream passes an answer on event by event.
-func (c *call) stream(ctx context.Context, choice *tracker.Choice, reply *exchanger.Reply, notes Notes, began time.Time) (verdict, *answer, *classifier.Error) {
+func (c *call) stream(ctx context.Context, choice *tracker.Choice, reply *exchanger.Reply, notes Notes) (verdict, *answer, *classifier.Error) {
 	err := sound(reply.Status, notes)
 	if err == nil && c.outgrown(choice, notes) {
 		return dropped, nil, nil
 	}
 	cut := &events{last: c.after}
-	first := time.Duration(0)
+	began := time.Now()
 	buffer := make([]byte, pieceBytes)
 	for err == nil {
 		var n int
 		n, err = reply.Read(buffer)
 		if whole := cut.add(buffer[:n]); len(whole) > 0 {
-			if first == 0 {
-				first = time.Since(began)
-			}
 			if writeErr := c.forward(reply, whole, cut.last); writeErr != nil {
 				choice.End(tracker.Neutral, 0)
 				return failed, nil, classifier.Wrap(classifier.CallerGone, writeErr, "the client stopped reading")
@@ -85,11 +82,12 @@
 		}
 	}
 	if errors.Is(err, io.EOF) && len(cut.buffer) == 0 && cut.count > 0 {
-		choice.End(tracker.Good, pace(time.Since(began)-first, cut.count))
-		c.Believer.Ran(c.route.Service, choice.Version, c.route.Name, c.Session, true, first)
+		pace := pace(time.Since(began), cut.count)
+		choice.End(tracker.Good, pace)
+		c.ran(choice, true, c.headed, pace)
 		c.Counters.Served.Inc()
 		c.Counters.Whole.UpdateDuration(c.arrived)
-		c.log(hclog.Info, "stream served", c.about(choice, "first", first, "events", cut.count, "confidence", notes.Confidence)...)
+		c.log(hclog.Info, "stream served", c.about(choice, "first", c.headed, "events", cut.count, "confidence", notes.Confidence)...)
 		return done, nil, nil
 	}
 	return c.broken(ctx, choice, err, cut)
@@ -119,7 +117,7 @@
 	if ctx.Err() != nil {
 		blame = tracker.Neutral
 	} else {
-		c.Believer.Ran(c.route.Service, choice.Version, c.route.Name, c.Session, false, 0)
+		c.ran(choice, false, 0, 0)
 	}
 	choice.End(blame, 0)
 	c.log(hclog.Info, "stream broken", c.about(choice, "error", err, "events", cut.count, "after", c.after)...)
--- /dev/null
+++ b/internal/promoter/promoter.go
@@ -0,0 +1,165 @@
+// Package promoter moves a service's requests to a new version: who gets it,
+// when all do, when the old one may stop, and when the move is undone. It is
+// pure: views and times are arguments.
+package promoter
+
+import (
+	"time"
+)
+
+// Order asks for a service's requests to be moved to a version.
+type Order struct {
+	Service  string
+	Target   string
+	Duration time.Duration
+	// Offset tells apart orders for the same version.
+	Offset int64
+}
+
+// State is how far a roll-out has come.
+type State int
+
+// The states.
+const (
+	// Waiting roll-outs have not been begun by any daemon.
+	Waiting State = iota
+	// Trial roll-outs give the new version to a share of the sessions.
+	Trial
+	// Full roll-outs give it to all; the old version ends what it runs.
+	Full
+	// Completed roll-outs have stopped the old version.
+	Completed
+	// RolledBack roll-outs are undone.
+	RolledBack
+)
+
+// String returns the state's name.
+func (s State) String() string {
+	return [...]string{"waiting", "trial", "full", "completed", "rolled back"}[s]
+}
+
+// Final reports whether the state never changes.
+func (s State) Final() bool { return s == Completed || s == RolledBack }
+
+// Status is what all daemons agree on.
+type Status struct {
+	Service string
+	Target  string
+	// Order is the offset of the order.
+	Order int64
+	State State
+	// Since is the time of day at which the order was first seen.
+	Since time.Time
+}
+
+// Of returns the state of an order; a status of another order does not count.
+func (s Status) Of(order Order) State {
+	if s.Order != order.Offset || s.Target != order.Target {
+		return Waiting
+	}
+	return s.State
+}
+
+const (
+	// trialShare is the share of the sessions that get the new version at first.
+	// It stays well under the exposure that operators allow.
+	trialShare = 0.10
+	// trialOfBound caps it at a share of the allowed exposure.
+	trialOfBound = 0.7
+	// fullAt and completeAt are shares of the order's duration. Between them the
+	// old version ends its streams.
+	fullAt     = 0.70
+	completeAt = 0.90
+	// completeMargin is the time before the order's end at which it is completed
+	// at the latest.
+	completeMargin = 1200 * time.Millisecond
+	// minCapacity is the share of the old endpoints that the new version must
+	// have before all requests go there.
+	minCapacity = 0.5
+	// minRuns is the number of this daemon's runs on the new version before it
+	// gives it to all.
+	minRuns = 5
+	// patience is the share of the duration after which fewer runs do.
+	patience = 0.8
+	// pinUntil is the share of the duration until which a session that runs on
+	// the old version stays there.
+	pinUntil = 0.5
+)
+
+// Share returns the share of the sessions that get the new version.
+func Share(state State, bound float64) float64 {
+	switch state {
+	case Full, Completed:
+		return 1
+	case Trial:
+		return min(trialShare, trialOfBound*bound)
+	case Waiting, RolledBack:
+	}
+	return 0
+}
+
+// Movable reports whether a session that runs on the old version may move.
+func Movable(order Order, state State, elapsed time.Duration) bool {
+	return state >= Full || elapsed >= time.Duration(pinUntil*float64(order.Duration))
+}
+
+// View is what a daemon knows of a roll-out.
+type View struct {
+	Order Order
+	State State
+	// Elapsed is the time since the order was first seen.
+	Elapsed time.Duration
+	// InState is the time since this daemon saw the state.
+	InState time.Duration
+	// Adverse is set when the pooled results show that the version is worse.
+	Adverse bool
+	// Old and New are the numbers of usable endpoints of both.
+	Old int
+	New int
+	// Runs is the number of this daemon's runs on the new version.
+	Runs int
+}
+
+// Decide returns the state that the roll-out should go to; it is the present
+// one when nothing should change.
+func Decide(v View) State {
+	if v.State.Final() {
+		return v.State
+	}
+	if v.Adverse {
+		return RolledBack
+	}
+	switch v.State {
+	case Waiting:
+		return Trial
+	case Trial:
+		if v.ripe() {
+			return Full
+		}
+	case Full:
+		if v.drained() {
+			return Completed
+		}
+	case Completed, RolledBack:
+	}
+	return v.State
+}
+
+// ripe reports whether all requests may go to the new version.
+func (v View) ripe() bool {
+	if v.New == 0 || float64(v.New) < minCapacity*float64(v.Old) || v.Elapsed < v.part(fullAt) {
+		return false
+	}
+	return v.Runs >= minRuns || v.Elapsed >= v.part(patience)
+}
+
+// drained reports whether the old version may be stopped.
+func (v View) drained() bool {
+	due := min(v.part(completeAt), v.Order.Duration-completeMargin)
+	settled := v.InState >= min(v.part(completeAt-fullAt)/2, completeMargin)
+	return v.Elapsed >= due && settled
+}
+
+func (v View) part(share float64) time.Duration {
+	return time.Duration(share * float64(v.Order.Duration))
+}
--- a/internal/runner/beliefs.go
+++ b/internal/runner/beliefs.go
@@ -26,12 +26,9 @@
 func (r *Runner) table() *matcher.Table { return r.declaration.Snapshot().table }
 
 // Version implements forwarder.Believer.
-func (r *Runner) Version(service, _ string) (only, except string) {
-	if order, ok := r.declaration.Snapshot().orders[service]; ok {
-		return "", order.Target
-	}
-	return "", ""
+func (r *Runner) Version(service, session string, failed bool) forwarder.Constraint {
+	return r.rollouts.version(service, session, failed)
 }
 
 // Ran implements forwarder.Believer.
-func (r *Runner) Ran(string, string, string, string, bool, time.Duration) {}
+func (r *Runner) Ran(result forwarder.Result) { r.rollouts.ran(result) }
--- a/internal/runner/follow.go
+++ b/internal/runner/follow.go
@@ -22,8 +22,10 @@
 			order := *record.Order
 			r.logger.Info("roll-out ordered", "service", order.Service, "target", order.Target, "duration", order.Duration, "offset", item.Offset)
 			r.change(func(state *declared) { state.order(order) })
+			r.rollouts.order(order)
 		case record.Withdrawn != "":
 			r.change(func(state *declared) { state.withdraw(record.Withdrawn) })
+			r.rollouts.withdraw(record.Withdrawn)
 		}
 	}
 }
--- /dev/null
+++ b/internal/runner/rollouts.go
@@ -0,0 +1,424 @@
+package runner
+
+import (
+	"context"
+	"math/rand/v2"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+	"google.golang.org/protobuf/proto"
+
+	"quetzalgrade.example/quetzalgrade/internal/forwarder"
+	"quetzalgrade.example/quetzalgrade/internal/promoter"
+	"quetzalgrade.example/quetzalgrade/internal/subscriber"
+	"quetzalgrade.example/quetzalgrade/pkg/schema"
+)
+
+const (
+	// decideInterval is how often running roll-outs are looked at.
+	decideInterval = 200 * time.Millisecond
+	// reportInterval is the least time between two reports of a daemon.
+	reportInterval = 400 * time.Millisecond
+	// writeSpread spreads the daemons' attempts to write the same progress.
+	writeSpread = time.Second
+	// progressWait is how long a read waits for progress or results.
+	progressWait = 3 * time.Second
+	// progressAge is the age of what is known of a roll-out beyond which no more
+	// sessions get the new version.
+	progressAge = 5 * time.Second
+	// writeTimeout bounds one write.
+	writeTimeout = time.Second
+)
+
+// rollout is what this daemon knows of one service's roll-out.
+type rollout struct {
+	order  promoter.Order
+	state  promoter.State
+	status promoter.Status
+	// began is when the order was first seen and entered when the state was, by
+	// the daemon's clock.
+	began   time.Duration
+	entered time.Duration
+	doubts  *promoter.Doubts
+	// reported are the doubts as last reported.
+	reported   int
+	reportedAt time.Duration
+	// reports are the doubts of all daemons by their key.
+	reports map[string]map[string]float64
+	// adverse is set when the doubts speak against the version.
+	adverse bool
+	// due is when this daemon writes the next state; 0 when it has none to write.
+	due time.Duration
+}
+
+// rollouts follows and drives the roll-outs of all services.
+type rollouts struct {
+	*Runner
+	key     string
+	status  *subscriber.Subscriber
+	results *subscriber.Subscriber
+	// active signals that a roll-out may have begun or ended.
+	active chan struct{}
+
+	mu       sync.Mutex
+	services map[string]*rollout
+	statuses map[string]promoter.Status
+	sessions *promoter.Sessions
+	usual    map[usualKey]usual
+}
+
+func newRollouts(r *Runner) *rollouts {
+	o := &rollouts{
+		Runner:   r,
+		key:      r.settings.Name + "/" + strconv.FormatInt(int64(r.process.Clock()), 36),
+		active:   make(chan struct{}, 1),
+		services: map[string]*rollout{},
+		statuses: map[string]promoter.Status{},
+		sessions: promoter.NewSessions(r.settings.Session),
+		usual:    map[usualKey]usual{},
+	}
+	o.status = subscriber.New("status", r.process.Status, progressWait, r.process.Clock, o.takeStatus, r.logger)
+	o.results = subscriber.New("results", r.process.Results, progressWait, r.process.Clock, o.takeResults, r.logger)
+	return o
+}
+
+// order takes an operator's order.
+func (o *rollouts) order(order promoter.Order) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	known := o.services[order.Service]
+	if known != nil && known.order.Offset == order.Offset {
+		return
+	}
+	now := o.process.Clock()
+	known = &rollout{
+		order:   order,
+		began:   now,
+		entered: now,
+		doubts:  promoter.NewDoubts(),
+		reports: map[string]map[string]float64{},
+	}
+	o.services[order.Service] = known
+	o.adopt(known, o.statuses[order.Service])
+	o.wake()
+}
+
+func (o *rollouts) withdraw(service string) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	delete(o.services, service)
+	o.wake()
+}
+
+func (o *rollouts) wake() {
+	select {
+	case o.active <- struct{}{}:
+	default:
+	}
+}
+
+// takeStatus takes the progress that daemons have agreed on.
+func (o *rollouts) takeStatus(change subscriber.Change) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for _, item := range change.Items {
+		status, err := o.process.Translator.Status(item)
+		if err != nil {
+			o.logger.Error("progress of a roll-out is not usable", "key", item.Key, "offset", item.Offset, "error", err)
+			continue
+		}
+		o.statuses[status.Service] = status
+		if known := o.services[status.Service]; known != nil {
+			o.adopt(known, status)
+		}
+	}
+	o.wake()
+}
+
+// adopt takes over an agreed state. States only go forward.
+func (o *rollouts) adopt(known *rollout, status promoter.Status) {
+	state := status.Of(known.order)
+	if state <= known.state || known.state.Final() {
+		return
+	}
+	now := o.process.Clock()
+	o.logger.Info("roll-out goes on", "service", known.order.Service, "target", known.order.Target,
+		"from", known.state, "to", state, "runs", known.doubts.Runs(), "elapsed", now-known.began)
+	known.state = state
+	known.status = status
+	known.entered = now
+	known.due = 0
+	// A daemon that started later takes the order's age from the first one.
+	age := min(known.order.Duration, max(0, time.Since(status.Since)))
+	known.began = min(known.began, now-age)
+}
+
+// takeResults takes what daemons hold against new versions.
+func (o *rollouts) takeResults(change subscriber.Change) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for _, item := range change.Items {
+		report := &schema.RolloutReport{}
+		if err := proto.Unmarshal(item.Value, report); err != nil {
+			o.logger.Error("report of a roll-out is not usable", "key", item.Key, "offset", item.Offset, "error", err)
+			continue
+		}
+		known := o.services[report.GetService()]
+		if known == nil || known.order.Offset != report.GetOrder() || item.Key == o.key {
+			continue
+		}
+		known.reports[item.Key] = report.GetDoubts()
+		o.judge(known)
+	}
+}
+
+// judge looks at the doubts of all daemons.
+func (o *rollouts) judge(known *rollout) {
+	if known.adverse || known.state.Final() {
+		return
+	}
+	reports := []map[string]float64{known.doubts.Endpoints()}
+	for _, report := range known.reports {
+		reports = append(reports, report)
+	}
+	inUse := o.tracker.Versions(known.order.Service)[known.order.Target]
+	if promoter.Adverse(reports, inUse) {
+		known.adverse = true
+		o.logger.Warn("new version is worse", "service", known.order.Service, "target", known.order.Target,
+			"doubts", reports, "runs", known.doubts.Runs(), "elapsed", o.process.Clock()-known.began, "results_age", o.age(o.results))
+	}
+}
+
+func (o *rollouts) age(topic *subscriber.Subscriber) time.Duration {
+	age, proven := topic.Age()
+	if !proven {
+		return time.Hour
+	}
+	return age
+}
+
+// run follows progress while a roll-out is under way, and drives it.
+func (o *rollouts) run(ctx context.Context) error {
+	for {
+		select {
+		case <-o.active:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+		if !o.underWay() {
+			continue
+		}
+		o.follow(ctx)
+	}
+}
+
+func (o *rollouts) underWay() bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for _, known := range o.services {
+		if !known.state.Final() {
+			return true
+		}
+	}
+	return false
+}
+
+// follow runs until no roll-out is under way.
+func (o *rollouts) follow(ctx context.Context) {
+	ctx, cancel := context.WithCancel(ctx)
+	var group sync.WaitGroup
+	for _, topic := range []*subscriber.Subscriber{o.status, o.results} {
+		group.Go(func() { _ = topic.Run(ctx) })
+	}
+	ticker := time.NewTicker(decideInterval)
+	defer ticker.Stop()
+	for o.underWay() && ctx.Err() == nil {
+		select {
+		case <-ticker.C:
+			o.step(ctx)
+		case <-ctx.Done():
+		}
+	}
+	cancel()
+	group.Wait()
+}
+
+// step reports doubts and writes the states that are due.
+func (o *rollouts) step(ctx context.Context) {
+	for _, write := range o.writes() {
+		if err := write(ctx); err != nil {
+			o.logger.Info("progress of a roll-out could not be written", "error", err)
+		}
+	}
+}
+
+// writes returns what is to be written now.
+func (o *rollouts) writes() []func(context.Context) error {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	now := o.process.Clock()
+	o.sessions.Sweep(time.Now())
+	var writes []func(context.Context) error
+	for _, known := range o.services {
+		if known.state.Final() {
+			continue
+		}
+		if report := o.report(known, now); report != nil {
+			writes = append(writes, report)
+		}
+		if progress := o.progress(known, now); progress != nil {
+			writes = append(writes, progress)
+		}
+	}
+	return writes
+}
+
+// report returns a write of this daemon's doubts if they have grown.
+func (o *rollouts) report(known *rollout, now time.Duration) func(context.Context) error {
+	doubts := known.doubts.Endpoints()
+	if len(doubts) == 0 || known.doubts.Runs() == known.reported || now-known.reportedAt < reportInterval {
+		return nil
+	}
+	known.reported = known.doubts.Runs()
+	known.reportedAt = now
+	report := &schema.RolloutReport{Service: known.order.Service, Order: known.order.Offset, Doubts: doubts}
+	return func(ctx context.Context) error {
+		ctx, cancel := context.WithTimeout(ctx, writeTimeout)
+		defer cancel()
+		data, err := proto.Marshal(report)
+		if err != nil {
+			return err
+		}
+		return o.process.Results.Append(ctx, o.key, data)
+	}
+}
+
+// progress returns a write of the next state if it is due.
+func (o *rollouts) progress(known *rollout, now time.Duration) func(context.Context) error {
+	versions := o.tracker.Versions(known.order.Service)
+	fresh := versions[known.order.Target]
+	old := -fresh
+	for _, count := range versions {
+		old += count
+	}
+	if _, proven := o.status.Age(); !proven {
+		// What others have written is not known yet.
+		return nil
+	}
+	next := promoter.Decide(promoter.View{
+		Order:   known.order,
+		State:   known.state,
+		Elapsed: now - known.began,
+		InState: now - known.entered,
+		Adverse: known.adverse,
+		Old:     old,
+		New:     fresh,
+		Runs:    known.doubts.Runs(),
+	})
+	if next == known.state {
+		return nil
+	}
+	if known.due == 0 {
+		known.due = now
+		if next != promoter.RolledBack {
+			known.due += time.Duration(rand.Int64N(int64(writeSpread)))
+		}
+	}
+	if now < known.due {
+		return nil
+	}
+	known.due = 0
+	return o.write(known, next, now)
+}
+
+// write returns a write of a state on condition that nobody wrote before.
+func (o *rollouts) write(known *rollout, next promoter.State, now time.Duration) func(context.Context) error {
+	status := promoter.Status{
+		Service: known.order.Service,
+		Target:  known.order.Target,
+		Order:   known.order.Offset,
+		State:   next,
+		Since:   time.Now().Add(known.began - now),
+	}
+	at := o.status.Next()
+	return func(ctx context.Context) error {
+		ctx, cancel := context.WithTimeout(ctx, writeTimeout)
+		defer cancel()
+		key, value, err := o.process.Translator.EncodeStatus(status)
+		if err != nil {
+			return err
+		}
+		err = o.process.Status.AppendAt(ctx, key, value, at)
+		if errors.Is(err, subscriber.ErrMoved) {
+			return nil
+		}
+		if err == nil {
+			o.logger.Info("progress of a roll-out written", "service", status.Service, "target", status.Target, "state", status.State, "at", at)
+		}
+		return err
+	}
+}
+
+// version returns the version that a session's request must run on.
+func (o *rollouts) version(service, session string, failed bool) forwarder.Constraint {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	known := o.services[service]
+	if known == nil {
+		return forwarder.Constraint{}
+	}
+	target := known.order.Target
+	now := time.Now()
+	onNew := o.choose(known, session, failed, now)
+	if !known.state.Final() {
+		ran := target
+		if !onNew {
+			// Any other version is the old one.
+			ran = oldVersion
+		}
+		o.sessions.Ran(session, ran, now)
+	}
+	switch {
+	case !onNew:
+		return forwarder.Constraint{Except: target}
+	case known.state == promoter.Trial:
+		return forwarder.Constraint{Only: target, Subset: 2 * promoter.Share(known.state, o.settings.Expose)}
+	default:
+		return forwarder.Constraint{Only: target}
+	}
+}
+
+// oldVersion stands for any version but the target.
+const oldVersion = "old"
+
+// choose reports whether the session's request goes to the new version.
+func (o *rollouts) choose(known *rollout, session string, failed bool, now time.Time) bool {
+	switch {
+	case known.state == promoter.Completed:
+		return true
+	case known.adverse || known.state == promoter.RolledBack || known.state == promoter.Waiting:
+		return false
+	case known.state == promoter.Full:
+		return true
+	case failed:
+		return false
+	}
+	elapsed := o.process.Clock() - known.began
+	switch o.sessions.Version(session, now) {
+	case known.order.Target:
+		return true
+	case oldVersion:
+		if !promoter.Movable(known.order, known.state, elapsed) {
+			return false
+		}
+	default:
+		// A daemon that has run for less than a session's pause cannot know of
+		// sessions that others have served.
+	}
+	if o.age(o.status) > progressAge || o.age(o.results) > progressAge {
+		return false
+	}
+	return promoter.Chosen(session, known.order, promoter.Share(known.state, o.settings.Expose))
+}
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -24,6 +24,7 @@
 	"quetzalgrade.example/quetzalgrade/internal/keeper"
 	"quetzalgrade.example/quetzalgrade/internal/matcher"
 	"quetzalgrade.example/quetzalgrade/internal/noter"
+	"quetzalgrade.example/quetzalgrade/internal/promoter"
 	"quetzalgrade.example/quetzalgrade/internal/subscriber"
 	"quetzalgrade.example/quetzalgrade/internal/tracker"
 )
@@ -36,12 +37,25 @@
 	Declared(item subscriber.Item) (Declared, error)
 	// Endpoint reads a record of the endpoints' topic.
 	Endpoint(item subscriber.Item) (tracker.Registration, error)
+	// Status reads a record of the topic of progress; EncodeStatus writes one.
+	Status(item subscriber.Item) (promoter.Status, error)
+	EncodeStatus(status promoter.Status) (key string, value []byte, err error)
+}
+
+// Board is a keyed topic that daemons write to.
+type Board interface {
+	subscriber.Source
+	// Append adds a record.
+	Append(ctx context.Context, key string, value []byte) error
+	// AppendAt adds a record if the topic ends at the offset; the error is
+	// subscriber.ErrMoved if it does not.
+	AppendAt(ctx context.Context, key string, value []byte, at int64) error
 }
 
 // Declared is one record of the operators' topic.
 type Declared struct {
 	Declaration *matcher.Declaration
-	Order       *Order
+	Order       *promoter.Order
 	// Withdrawn is the service whose order was dropped.
 	Withdrawn string
 }
@@ -53,6 +67,10 @@
 	// Operator and Endpoints are the topics to follow.
 	Operator  subscriber.Source
 	Endpoints subscriber.Source
+	// Status holds the progress of roll-outs, Results what daemons hold against
+	// new versions.
+	Status  Board
+	Results Board
 	Clock     subscriber.Clock
 	Logs      io.Writer
 	// Reload yields when the settings may have changed.
@@ -63,9 +81,9 @@
 	// operatorWait is how long a read waits for a declaration. The age of the
 	// proof of reading stays well under the time that a key may outlive its
 	// withdrawal.
-	operatorWait = 2 * time.Second
+	operatorWait = 3 * time.Second
 	// endpointsWait is how long a read waits for a registration.
-	endpointsWait = 4 * time.Second
+	endpointsWait = 10 * time.Second
 	// sweepInterval is how often idle connections are looked at.
 	sweepInterval = time.Second
 )
@@ -81,6 +99,7 @@
 	declaration *keeper.Keeper[declared, declaredView]
 	declared    *subscriber.Subscriber
 	registered  *subscriber.Subscriber
+	rollouts    *rollouts
 	tracker     *tracker.Tracker
 	exchanger   *exchanger.Exchanger
 	forwarder   *forwarder.Forwarder
@@ -115,6 +134,7 @@
 	r.exchanger = exchanger.New(process.Network, func(status int, answer, request http.Header) bool {
 		return owns(codec.Notes(status, answer), status, codec.Notes(0, request).ID)
 	})
+	r.rollouts = newRollouts(r)
 	r.forwarder = forwarder.New(forwarder.Parts{
 		Codec:     codec,
 		Believer:  r,
@@ -196,6 +216,7 @@
 	run(r.noter.Run)
 	run(r.declared.Run)
 	run(r.registered.Run)
+	run(r.rollouts.run)
 	run(r.sweep)
 	run(r.reload)
 	r.callers = r.server(r.forwarder)
--- a/internal/runner/state.go
+++ b/internal/runner/state.go
@@ -2,32 +2,25 @@
 
 import (
 	"maps"
-	"time"
 
 	"quetzalgrade.example/quetzalgrade/internal/matcher"
+	"quetzalgrade.example/quetzalgrade/internal/promoter"
 )
 
-// Order asks for a service's requests to be moved to a version.
-type Order struct {
-	Service  string
-	Target   string
-	Duration time.Duration
-}
-
 // declared is what operators have declared. The keeper's actor owns it.
 type declared struct {
 	table   *matcher.Table
-	orders  map[string]Order
+	orders  map[string]promoter.Order
 	changed bool
 }
 
 // declaredView is an immutable copy of it.
 type declaredView struct {
 	table  *matcher.Table
-	orders map[string]Order
+	orders map[string]promoter.Order
 }
 
-func newDeclared() *declared { return &declared{orders: map[string]Order{}, changed: true} }
+func newDeclared() *declared { return &declared{orders: map[string]promoter.Order{}, changed: true} }
 
 func (d *declared) view() *declaredView {
 	if !d.changed {
@@ -47,7 +40,7 @@
 	return true
 }
 
-func (d *declared) order(order Order) {
+func (d *declared) order(order promoter.Order) {
 	d.orders[order.Service] = order
 	d.changed = true
 }
--- /dev/null
+++ b/internal/runner/usual.go
@@ -0,0 +1,76 @@
+package runner
+
+import (
+	"time"
+
+	"quetzalgrade.example/quetzalgrade/internal/forwarder"
+)
+
+// usualKey is what the time of an answer depends on.
+type usualKey struct {
+	service string
+	route   string
+	model   string
+}
+
+// usual is the time that answers of the old version take.
+type usual struct {
+	first time.Duration
+	pace  time.Duration
+	count int
+}
+
+const (
+	// usualSmoothing is the weight of the newest answer in the averages.
+	usualSmoothing = 0.1
+	// usualCount is the number of answers before others are compared with them.
+	usualCount = 5
+	// slowFactor times the usual time is slow, if it is also longer than slowFirst
+	// or slowPace.
+	slowFactor = 4
+	slowFirst  = 300 * time.Millisecond
+	slowPace   = 40 * time.Millisecond
+)
+
+func (u usual) add(result forwarder.Result) usual {
+	u.count++
+	u.first = smooth(u.first, result.First)
+	u.pace = smooth(u.pace, result.Pace)
+	return u
+}
+
+func smooth(average, value time.Duration) time.Duration {
+	if average == 0 || value == 0 {
+		return max(average, value)
+	}
+	return average + time.Duration(usualSmoothing*float64(value-average))
+}
+
+// slow reports whether a result is much slower than usual.
+func (u usual) slow(result forwarder.Result) bool {
+	if u.count < usualCount {
+		return false
+	}
+	lateFirst := u.first > 0 && result.First > max(slowFirst, slowFactor*u.first)
+	latePace := u.pace > 0 && result.Pace > max(slowPace, slowFactor*u.pace)
+	return lateFirst || latePace
+}
+
+// ran takes a result.
+func (o *rollouts) ran(result forwarder.Result) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	key := usualKey{result.Service, result.Route, result.Model}
+	known := o.services[result.Service]
+	if known == nil || known.order.Target != result.Version || known.state.Final() {
+		if result.Good {
+			o.usual[key] = o.usual[key].add(result)
+		}
+		return
+	}
+	good := result.Good && !o.usual[key].slow(result)
+	known.doubts.Add(result.Endpoint, result.Route, good)
+	if !good {
+		o.judge(known)
+	}
+}
--- a/internal/subscriber/subscriber.go
+++ b/internal/subscriber/subscriber.go
@@ -16,6 +16,10 @@
 // ErrExpired is returned by a source whose records from the offset on are gone.
 var ErrExpired = errors.New("records have expired")
 
+// ErrMoved is returned by an append on condition that the topic ends at another
+// offset.
+var ErrMoved = errors.New("the topic has moved on")
+
 // Item is a record; an empty value drops its key.
 type Item struct {
 	Key    string
@@ -78,11 +82,12 @@
 	handle func(Change)
 	logger hclog.Logger
 
-	// next is the offset to read from; it is used by Run alone.
-	next  int64
+	// known is set when next is; it is used by Run alone.
 	known bool
 
-	mu      sync.Mutex
+	mu sync.Mutex
+	// next is the offset to read from.
+	next    int64
 	proof   time.Duration
 	proven  bool
 	failing bool
@@ -143,14 +148,31 @@
 	if err != nil {
 		return err
 	}
-	s.next = page.Next
+	s.advance(page.Next)
 	if len(page.Items) > 0 {
 		s.handle(Change{Items: page.Items, Outage: s.outage()})
+	} else if s.clock()-asked >= wait {
+		// An empty page says that nothing came during the whole wait.
+		asked += wait
 	}
 	s.prove(asked, page.Next >= page.End)
 	return nil
 }
 
+// advance sets the offset to read from.
+func (s *Subscriber) advance(next int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.next = next
+}
+
+// Next returns the offset after the last record that was handled.
+func (s *Subscriber) Next() int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.next
+}
+
 func (s *Subscriber) readAll(ctx context.Context) error {
 	asked := s.clock()
 	bounded, cancel := context.WithTimeout(ctx, newestTimeout)
@@ -159,7 +181,7 @@
 	if err != nil {
 		return err
 	}
-	s.next = next
+	s.advance(next)
 	s.known = true
 	s.handle(Change{Whole: true, Items: items, Outage: s.outage()})
 	s.prove(asked, true)
--- a/internal/tracker/tracker.go
+++ b/internal/tracker/tracker.go
@@ -3,12 +3,15 @@
 package tracker
 
 import (
+	"cmp"
+	"math"
 	"math/rand/v2"
 	"net/netip"
 	"slices"
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/hashicorp/go-hclog"
 
 	"quetzalgrade.example/quetzalgrade/internal/picker"
@@ -59,6 +62,8 @@
 	// others is the load that came from other daemons at the newest report.
 	others   int
 	reported time.Time
+	// rank orders endpoints at random, alike on all daemons.
+	rank uint64
 	// misdirected is set when another endpoint answered at the address.
 	misdirected bool
 	// lapses is when an endpoint without a record is forgotten; zero for never.
@@ -95,7 +100,7 @@
 	defer t.mu.Unlock()
 	known := t.endpoints[registration.ID]
 	if known == nil {
-		known = &state{}
+		known = &state{rank: xxhash.Sum64String(registration.ID)}
 		t.endpoints[registration.ID] = known
 		t.healthOf(registration.Service).Forget(registration.Address)
 		t.logChange("endpoint appeared", registration)
@@ -198,6 +203,8 @@
 	Prefix uint64
 	// Tokens is the length of the prompt.
 	Tokens int
+	// Subset is the share of the fitting endpoints that are used; 0 for all.
+	Subset float64
 	// Tried endpoints are not chosen again.
 	Tried []string
 }
@@ -232,14 +239,10 @@
 	defer t.mu.Unlock()
 	now := t.now()
 	health := t.healthOf(query.Service)
-	var views []picker.Endpoint
-	var states []*state
-	for _, known := range t.endpoints {
-		if !query.fits(known) || !t.usable(known, now) {
-			continue
-		}
-		views = append(views, t.view(known, health, now))
-		states = append(states, known)
+	states := t.fitting(query, now)
+	views := make([]picker.Endpoint, len(states))
+	for i, known := range states {
+		views[i] = t.view(known, health, now)
 	}
 	chosen, ok := picker.Pick(picker.Request{Zone: t.zone, Prefix: query.Prefix}, views, picker.Options{}, 0, t.random)
 	if !ok {
@@ -259,6 +262,21 @@
 	}, true
 }
 
+// fitting returns the endpoints that may get the request.
+func (t *Tracker) fitting(query Query, now time.Time) []*state {
+	var states []*state
+	for _, known := range t.endpoints {
+		if query.fits(known) && t.usable(known, now) {
+			states = append(states, known)
+		}
+	}
+	if query.Subset <= 0 || query.Subset >= 1 {
+		return states
+	}
+	slices.SortFunc(states, func(a, b *state) int { return cmp.Compare(a.rank, b.rank) })
+	return states[:int(math.Ceil(query.Subset*float64(len(states))))]
+}
+
 func (t *Tracker) view(known *state, health *picker.Health, now time.Time) picker.Endpoint {
 	load := known.inflight
 	if now.Sub(known.reported) < reportLife {
