Send prompts where their shared parts are kept and their wait is shortest

Change: one home per subject and model over all zones; the endpoint with the least expected time to the first token wins, from the prompts this daemon has under way, the delay last seen and what the endpoint must read. Sent bytes that stay unacknowledged and zones that are out of reach are noticed, since more requests cross zones now.

--- a/internal/commander/entry.go
+++ b/internal/commander/entry.go
@@ -7,6 +7,7 @@
 	"os"
 	"os/signal"
 	"syscall"
+	"time"
 
 	"github.com/urfave/cli/v3"
 
@@ -15,6 +16,10 @@
 	"quetzalgrade.example/quetzalgrade/platform"
 )
 
+// maxSilence is how long the log or an endpoint may leave bytes unacknowledged;
+// it lets one lost packet be sent again.
+const maxSilence = 700 * time.Millisecond
+
 func entryCommand() *cli.Command {
 	return &cli.Command{
 		Name:         "entry",
@@ -38,7 +43,7 @@
 	if err != nil {
 		return err
 	}
-	network := connector.TCP{}
+	network := connector.TCP{Silence: maxSilence}
 	log := platform.NewLog(&http.Client{Transport: connector.Transport(network)}, settings.Store)
 	reload := make(chan struct{}, 1)
 	hangups := make(chan os.Signal, 1)
--- a/internal/connector/connector.go
+++ b/internal/connector/connector.go
@@ -7,9 +7,11 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"syscall"
 	"time"
 
 	"github.com/go-faster/errors"
+	"golang.org/x/sys/unix"
 )
 
 // Network opens and accepts connections from one host.
@@ -29,7 +31,12 @@
 )
 
 // TCP is the network of the machine.
-type TCP struct{}
+type TCP struct {
+	// Silence is how long a peer may leave bytes unacknowledged, or a probe of an
+	// idle connection unanswered, before the connection is given up; 0 for the
+	// system's own, much longer time.
+	Silence time.Duration
+}
 
 // Listen implements Network.
 func (TCP) Listen(addr netip.AddrPort) (net.Listener, error) {
@@ -37,11 +44,33 @@
 }
 
 // Dial implements Network.
-func (TCP) Dial(ctx context.Context, addr netip.AddrPort) (net.Conn, error) {
+func (t TCP) Dial(ctx context.Context, addr netip.AddrPort) (net.Conn, error) {
 	dialer := net.Dialer{Timeout: dialTimeout, KeepAlive: keepAlive}
+	if t.Silence > 0 {
+		dialer.KeepAliveConfig = net.KeepAliveConfig{Enable: true, Idle: probeInterval, Interval: probeInterval, Count: probeCount}
+		dialer.Control = func(_, _ string, raw syscall.RawConn) error { return limitSilence(raw, t.Silence) }
+	}
 	return dialer.DialContext(ctx, "tcp", addr.String())
 }
 
+const (
+	// probeInterval and probeCount are those of probes on a connection whose
+	// silence is bounded; the interval is the shortest that the system knows.
+	probeInterval = time.Second
+	probeCount    = 2
+)
+
+// limitSilence bounds the time for which sent bytes may stay unacknowledged.
+func limitSilence(raw syscall.RawConn, silence time.Duration) error {
+	var err error
+	if controlErr := raw.Control(func(fd uintptr) {
+		err = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(silence.Milliseconds()))
+	}); controlErr != nil {
+		return controlErr
+	}
+	return err
+}
+
 // Transport returns an HTTP transport that opens connections through network.
 func Transport(network Network) *http.Transport {
 	return &http.Transport{
--- a/internal/exchanger/exchanger.go
+++ b/internal/exchanger/exchanger.go
@@ -23,7 +23,7 @@
 const (
 	// dialTimeout bounds the opening of a connection: it is well above the
 	// longest way between zones, and one lost packet is not worth the wait.
-	dialTimeout = 400 * time.Millisecond
+	dialTimeout = 300 * time.Millisecond
 	// idleMargin is taken off the idle time that an endpoint announces, idleDefault
 	// counts when it announces none.
 	idleMargin  = 500 * time.Millisecond
@@ -70,6 +70,13 @@
 // Error implements error.
 func (f *Failure) Error() string { return f.Err.Error() }
 
+// Unreachable reports whether the endpoint's host or the way to it gave no sign
+// of life.
+func (f *Failure) Unreachable() bool {
+	timeout, ok := errors.Into[net.Error](f.Err)
+	return ok && timeout.Timeout()
+}
+
 // Unwrap returns the cause.
 func (f *Failure) Unwrap() error { return f.Err }
 
--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -90,6 +90,7 @@
 }
 
 func (c *call) pick() (*tracker.Choice, bool) {
+	subject, shared := c.subject()
 	constraint := c.Believer.Version(c.route.Service, c.session(), c.suspect)
 	return c.Tracker.Pick(tracker.Query{
 		Service: c.route.Service,
@@ -97,7 +98,8 @@
 		Except:  constraint.Except,
 		Subset:  constraint.Subset,
 		Model:   c.model(),
-		Prefix:  c.prefix(),
+		Subject: subject,
+		Shared:  shared,
 		Tokens:  c.Prompt,
 		Tried:   c.tried,
 	})
@@ -136,12 +138,17 @@
 	return c.route.Sizes[c.size]
 }
 
-// prefix hashes the parts that the request shares with others.
-func (c *call) prefix() uint64 {
+// subject returns what identifies the parts of the prompt that the request
+// shares with others, and their length in tokens.
+func (c *call) subject() (id uint64, tokens int) {
 	if !c.route.Affine || len(c.PromptParts) < 2 {
-		return 0
+		return 0, 0
 	}
-	return c.PromptParts[len(c.PromptParts)-2].ID
+	shared := c.PromptParts[:len(c.PromptParts)-1]
+	for _, part := range shared {
+		tokens += part.Tokens
+	}
+	return shared[len(shared)-1].ID, tokens
 }
 
 // answer is an answer that is held as a whole.
@@ -187,6 +194,7 @@
 	}
 	c.runs++
 	c.headed = time.Since(began)
+	choice.Headed(c.headed)
 	if reply.Status == http.StatusOK && c.route.Kind == matcher.Stream {
 		return c.stream(ctx, choice, reply, notes)
 	}
@@ -196,6 +204,9 @@
 // unanswered handles an attempt without an answer.
 func (c *call) unanswered(ctx context.Context, choice *tracker.Choice, failure *exchanger.Failure) (verdict, *answer, *classifier.Error) {
 	outcome, blame := failed, tracker.Bad
+	if failure.Unreachable() {
+		blame = tracker.Unreachable
+	}
 	if failure.Stage == exchanger.Unsent {
 		outcome = unrun
 	} else {
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -114,6 +114,8 @@
 	Version(service, session string, failed bool) Constraint
 	// Ran records a result of a version.
 	Ran(result Result)
+	// Ended records that a session's request has ended.
+	Ended(service, session string)
 }
 
 // Constraint restricts the endpoints of a request to versions.
@@ -208,6 +210,7 @@
 	}
 	ctx, cancel := context.WithDeadline(request.Context(), c.deadline)
 	defer cancel()
+	defer func() { f.Believer.Ended(c.route.Service, c.session()) }()
 	if err := c.run(ctx); err != nil {
 		c.fail(ctx, err)
 	}
--- a/internal/picker/picker.go
+++ b/internal/picker/picker.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net/netip"
 	"slices"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -28,6 +29,26 @@
 	Leaving bool
 	// Probing endpoints get one request at a time.
 	Probing bool
+	// Backlog is the expected time before the endpoint reads this request's
+	// prompt, Miss the time to read those of its parts that it does not keep.
+	Backlog time.Duration
+	Miss    time.Duration
+}
+
+// farPenalty is the time that an endpoint of another zone must be ahead.
+const farPenalty = 3 * time.Millisecond
+
+// untilFirst is the expected time to the first token beyond the time that any
+// endpoint needs.
+func (e Endpoint) untilFirst(zone string) time.Duration {
+	total := e.Backlog + e.Miss
+	if e.Slowness > 1 {
+		total = time.Duration(float64(total) * e.Slowness)
+	}
+	if e.Zone != zone {
+		total += farPenalty
+	}
+	return total
 }
 
 func (e Endpoint) utilisation() float64 {
@@ -42,6 +63,9 @@
 	Prefix uint64
 	// Tried endpoints are not chosen again.
 	Tried []netip.AddrPort
+	// Prefill requests go where their first token comes soonest: reading the
+	// prompt is most of their work.
+	Prefill bool
 }
 
 // Options switches mechanisms off, for measurements.
@@ -91,6 +115,9 @@
 		return least(usable, Endpoint.utilisation), true
 	case None:
 	}
+	if request.Prefill {
+		return least(usable, func(e Endpoint) float64 { return float64(e.untilFirst(request.Zone)) }), true
+	}
 	pool := zoneFirst(request.Zone, usable)
 	if request.Prefix != 0 && !options.NoAffinity {
 		if home, found := affine(request.Prefix, ownZone(request.Zone, usable), options.StrictAffinity); found {
--- /dev/null
+++ b/internal/promoter/promoter_test.go
@@ -0,0 +1,122 @@
+package promoter_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"quetzalgrade.example/quetzalgrade/internal/promoter"
+)
+
+var order = promoter.Order{Service: "helper", Target: "v2", Duration: 24 * time.Second, Offset: 7}
+
+func TestDecide(t *testing.T) {
+	rows := map[string]struct {
+		view promoter.View
+		want promoter.State
+	}{
+		"begins at once": {promoter.View{State: promoter.Waiting}, promoter.Trial},
+		"tries until it is ripe": {
+			promoter.View{State: promoter.Trial, Elapsed: 16 * time.Second, Old: 12, New: 12, Runs: 50}, promoter.Trial,
+		},
+		"goes to all": {
+			promoter.View{State: promoter.Trial, Elapsed: 17 * time.Second, Old: 12, New: 12, Runs: 50}, promoter.Full,
+		},
+		"not with few endpoints": {
+			promoter.View{State: promoter.Trial, Elapsed: 23 * time.Second, Old: 12, New: 5, Runs: 50}, promoter.Trial,
+		},
+		"not on few runs": {
+			promoter.View{State: promoter.Trial, Elapsed: 17 * time.Second, Old: 12, New: 12, Runs: 4}, promoter.Trial,
+		},
+		"on few runs when time runs short": {
+			promoter.View{State: promoter.Trial, Elapsed: 20 * time.Second, Old: 12, New: 12, Runs: 0}, promoter.Full,
+		},
+		"the old version ends its streams": {
+			promoter.View{State: promoter.Full, Elapsed: 20 * time.Second, InState: 3 * time.Second}, promoter.Full,
+		},
+		"completed in time": {
+			promoter.View{State: promoter.Full, Elapsed: 22 * time.Second, InState: 5 * time.Second}, promoter.Completed,
+		},
+		"undone in trial": {promoter.View{State: promoter.Trial, Adverse: true}, promoter.RolledBack},
+		"undone when full": {
+			promoter.View{State: promoter.Full, Elapsed: 23 * time.Second, InState: 5 * time.Second, Adverse: true}, promoter.RolledBack,
+		},
+		"completed stays":   {promoter.View{State: promoter.Completed, Adverse: true}, promoter.Completed},
+		"rolled back stays": {promoter.View{State: promoter.RolledBack, Elapsed: time.Minute}, promoter.RolledBack},
+	}
+	for name, row := range rows {
+		t.Run(name, func(t *testing.T) {
+			row.view.Order = order
+			if got := promoter.Decide(row.view); got != row.want {
+				t.Errorf("Decide() got %s, want %s", got, row.want)
+			}
+		})
+	}
+}
+
+func TestStatusOfAnotherOrderDoesNotCount(t *testing.T) {
+	status := promoter.Status{Target: "v2", Order: 3, State: promoter.RolledBack}
+	if got := status.Of(order); got != promoter.Waiting {
+		t.Errorf("Of() got %s, want %s", got, promoter.Waiting)
+	}
+}
+
+// results plays results of a version at a number of endpoints, in turn.
+func results(endpoints, runs int, bad func(run int) bool) []map[string]float64 {
+	doubts := promoter.NewDoubts()
+	for run := range runs {
+		doubts.Add(fmt.Sprint("e", run%endpoints), "digest", !bad(run/endpoints))
+	}
+	return []map[string]float64{doubts.Endpoints()}
+}
+
+func TestAdverse(t *testing.T) {
+	rows := map[string]struct {
+		reports []map[string]float64
+		inUse   int
+		want    bool
+	}{
+		"sound":                 {results(3, 300, func(int) bool { return false }), 12, false},
+		"one failure in twenty": {results(3, 600, func(run int) bool { return run%20 == 7 }), 12, false},
+		"every second fails":    {results(2, 12, func(run int) bool { return run%2 == 0 }), 12, true},
+		"bad late":              {results(2, 320, func(run int) bool { return run >= 150 && run%2 == 0 }), 12, true},
+		"one broken endpoint":   {results(1, 100, func(int) bool { return true }), 12, false},
+		"its only endpoint":     {results(1, 100, func(int) bool { return true }), 1, true},
+		"pooled over daemons": {append(results(2, 4, func(int) bool { return true }),
+			results(2, 4, func(int) bool { return true })...), 12, true},
+	}
+	for name, row := range rows {
+		t.Run(name, func(t *testing.T) {
+			if got := promoter.Adverse(row.reports, row.inUse); got != row.want {
+				t.Errorf("Adverse() got %t, want %t for %v", got, row.want, row.reports)
+			}
+		})
+	}
+}
+
+func TestSessionPauseCountsFromTheEndOfARun(t *testing.T) {
+	sessions := promoter.NewSessions(5 * time.Second)
+	start := time.Unix(0, 0)
+	sessions.Ran("s", "old", start)
+	sessions.Ended("s", start.Add(4*time.Second))
+	sessions.Sweep(start.Add(8 * time.Second))
+	if got := sessions.Version("s", start.Add(8*time.Second)); got != "old" {
+		t.Errorf("Version() 4 s after the end of the run got %q, want %q", got, "old")
+	}
+	if got := sessions.Version("s", start.Add(10*time.Second)); got != "" {
+		t.Errorf("Version() 6 s after the end of the run got %q, want none", got)
+	}
+}
+
+func TestALargerShareKeepsItsSessions(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		session := rapid.String().Draw(t, "session")
+		share := rapid.Float64Range(0, 1).Draw(t, "share")
+		more := share + rapid.Float64Range(0, 1).Draw(t, "more")
+		if promoter.Chosen(session, order, share) && !promoter.Chosen(session, order, more) {
+			t.Errorf("Chosen(%q) got true for %v and false for %v", session, share, more)
+		}
+	})
+}
--- a/internal/promoter/sessions.go
+++ b/internal/promoter/sessions.go
@@ -45,6 +45,13 @@
 	return known.version
 }
 
+// Ended records the end of a session's newest run: the pause counts from it.
+func (s *Sessions) Ended(session string, now time.Time) {
+	if known, ok := s.runs[session]; ok {
+		s.runs[session] = seen{known.version, now}
+	}
+}
+
 // Sweep forgets the sessions that have ended.
 func (s *Sessions) Sweep(now time.Time) {
 	for session, known := range s.runs {
--- a/internal/runner/beliefs.go
+++ b/internal/runner/beliefs.go
@@ -32,3 +32,6 @@
 
 // Ran implements forwarder.Believer.
 func (r *Runner) Ran(result forwarder.Result) { r.rollouts.ran(result) }
+
+// Ended implements forwarder.Believer.
+func (r *Runner) Ended(service, session string) { r.rollouts.ended(service, session) }
--- a/internal/runner/rollouts.go
+++ b/internal/runner/rollouts.go
@@ -390,6 +390,15 @@
 	}
 }
 
+// ended records that a session's request has ended.
+func (o *rollouts) ended(service, session string) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if known := o.services[service]; known != nil && !known.state.Final() {
+		o.sessions.Ended(session, time.Now())
+	}
+}
+
 // oldVersion stands for any version but the target.
 const oldVersion = "old"
 
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -71,8 +71,8 @@
 	// new versions.
 	Status  Board
 	Results Board
-	Clock     subscriber.Clock
-	Logs      io.Writer
+	Clock   subscriber.Clock
+	Logs    io.Writer
 	// Reload yields when the settings may have changed.
 	Reload <-chan struct{}
 }
--- /dev/null
+++ b/internal/tracker/prefill.go
@@ -0,0 +1,56 @@
+package tracker
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// initialSpeed is the assumed time to read a token, in milliseconds.
+	initialSpeed = 0.01
+	// fasterSmoothing and slowerSmoothing are the weights of an answer that was
+	// faster or slower than expected: waiting makes answers slow, so the time to
+	// read a token is near the low end of what is seen.
+	fasterSmoothing = 0.1
+	slowerSmoothing = 0.01
+	// minRead is the least number of tokens of a prompt that tells the speed.
+	minRead = 300
+	// delayHalfLife is the time in which a delay that was seen counts half.
+	delayHalfLife = 250 * time.Millisecond
+)
+
+// readTime is the time to read tokens of a prompt for a model.
+func (t *Tracker) readTime(model string, tokens int) time.Duration {
+	speed, known := t.speeds[model]
+	if !known {
+		speed = initialSpeed
+	}
+	return time.Duration(speed * float64(max(0, tokens)) * float64(time.Millisecond))
+}
+
+// learn takes the time in which an answer began.
+func (t *Tracker) learn(query Query, took time.Duration) {
+	tokens := query.Tokens - query.Shared
+	if tokens < minRead {
+		return
+	}
+	speed, known := t.speeds[query.Model]
+	if !known {
+		speed = initialSpeed
+	}
+	seen := float64(took) / float64(time.Millisecond) / float64(tokens)
+	smoothing := slowerSmoothing
+	if seen < speed {
+		smoothing = fasterSmoothing
+	}
+	t.speeds[query.Model] = speed + smoothing*(seen-speed)
+}
+
+// delayAt is the delay that is still expected at the endpoint.
+func (s *state) delayAt(now time.Time) time.Duration {
+	age := now.Sub(s.delayed)
+	if s.delay <= 0 || age > 8*delayHalfLife {
+		return 0
+	}
+	return time.Duration(float64(s.delay) * math.Exp2(-float64(age)/float64(delayHalfLife)))
+}
--- a/internal/tracker/tracker.go
+++ b/internal/tracker/tracker.go
@@ -57,8 +57,13 @@
 type state struct {
 	Registration
 	inflight int
-	// tokens is the sum of the prompt tokens of the requests in flight.
-	tokens int
+	// prefill is the time that the prompts need which this daemon has sent and
+	// whose answers have not begun.
+	prefill time.Duration
+	// delay is by how much answers began later than their prompts explain, as
+	// last seen at delayed.
+	delay   time.Duration
+	delayed time.Time
 	// others is the load that came from other daemons at the newest report.
 	others   int
 	reported time.Time
@@ -75,6 +80,8 @@
 	mu        sync.Mutex
 	endpoints map[string]*state
 	health    map[string]*picker.Health
+	zones     map[string]*reach
+	speeds    map[string]float64
 	zone      string
 	random    *rand.Rand
 	now       func() time.Time
@@ -87,6 +94,8 @@
 	return &Tracker{
 		endpoints: map[string]*state{},
 		health:    map[string]*picker.Health{},
+		zones:     map[string]*reach{},
+		speeds:    map[string]float64{},
 		zone:      zone,
 		random:    random,
 		now:       now,
@@ -199,9 +208,10 @@
 	Except string
 	// Model must be loaded; empty for any.
 	Model string
-	// Prefix hashes the start of the prompt; 0 for none.
-	Prefix uint64
-	// Tokens is the length of the prompt.
+	// Subject identifies the parts of the prompt that requests share; 0 for none.
+	Subject uint64
+	// Shared is the length of these parts in tokens, Tokens that of the prompt.
+	Shared int
 	Tokens int
 	// Subset is the share of the fitting endpoints that are used; 0 for all.
 	Subset float64
@@ -223,11 +233,16 @@
 type Choice struct {
 	tracker *Tracker
 	state   *state
-	tokens  int
+	query   Query
+	// prefill is the time that the prompt needs by itself.
+	prefill time.Duration
+	headed  bool
 	ended   bool
 	Registration
 	// Load is the load that the choice was made on.
 	Load int
+	// Backlog is the time that the prompt was expected to wait.
+	Backlog time.Duration
 	// ReportAge is the age of the newest report of the endpoint's load.
 	ReportAge time.Duration
 }
@@ -238,30 +253,79 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.now()
-	health := t.healthOf(query.Service)
 	states := t.fitting(query, now)
-	views := make([]picker.Endpoint, len(states))
-	for i, known := range states {
-		views[i] = t.view(known, health, now)
-	}
-	chosen, ok := picker.Pick(picker.Request{Zone: t.zone, Prefix: query.Prefix}, views, picker.Options{}, 0, t.random)
+	views := t.views(states, query, now)
+	chosen, ok := picker.Pick(picker.Request{Zone: t.zone, Prefill: query.Tokens > 0}, views, picker.Options{}, 0, t.random)
 	if !ok {
 		return nil, false
 	}
 	at := slices.IndexFunc(states, func(known *state) bool { return known.Address == chosen.Address })
 	known := states[at]
+	prefill := chosen.Miss + t.readTime(query.Model, query.Tokens-query.Shared)
 	known.inflight++
-	known.tokens += query.Tokens
+	known.prefill += prefill
+	t.reachOf(known.Zone).picked(now)
 	return &Choice{
 		tracker:      t,
 		state:        known,
-		tokens:       query.Tokens,
+		query:        query,
+		prefill:      prefill,
 		Registration: known.Registration,
 		Load:         chosen.Load,
+		Backlog:      chosen.Backlog,
 		ReportAge:    now.Sub(known.reported),
 	}, true
 }
 
+// views returns what the choice depends on.
+func (t *Tracker) views(states []*state, query Query, now time.Time) []picker.Endpoint {
+	health := t.healthOf(query.Service)
+	views := make([]picker.Endpoint, len(states))
+	for i, known := range states {
+		views[i] = t.view(known, health, now)
+	}
+	if query.Subject == 0 {
+		return views
+	}
+	miss := t.readTime(query.Model, query.Shared)
+	for i, rank := range homes(states, query) {
+		views[i].Miss = time.Duration(min(1, missStep*float64(rank)) * float64(miss))
+	}
+	return views
+}
+
+// missStep is the share of the shared parts that the second home of a subject
+// is expected to lack; the third lacks all.
+const missStep = 0.5
+
+// homes returns for each endpoint its rank among the homes of the query's
+// subject. All daemons agree on it, so that a subject is read by few endpoints.
+func homes(states []*state, query Query) []int {
+	model := xxhash.Sum64String(query.Model)
+	scores := make([]uint64, len(states))
+	for i, known := range states {
+		scores[i] = mix(known.rank ^ mix(query.Subject^model))
+	}
+	ranks := make([]int, len(states))
+	for i, score := range scores {
+		for _, other := range scores {
+			if other > score {
+				ranks[i]++
+			}
+		}
+	}
+	return ranks
+}
+
+// mix spreads the bits of a number (the finalizer of SplitMix64).
+func mix(x uint64) uint64 {
+	x ^= x >> 30
+	x *= 0xbf58476d1ce4e5b9
+	x ^= x >> 27
+	x *= 0x94d049bb133111eb
+	return x ^ x>>31
+}
+
 // fitting returns the endpoints that may get the request.
 func (t *Tracker) fitting(query Query, now time.Time) []*state {
 	var states []*state
@@ -288,9 +352,24 @@
 		Slots:    known.Slots,
 		Load:     load,
 		Slowness: health.Slowness(known.Address),
-		Ejected:  health.Ejected(known.Address, now),
+		Ejected:  health.Ejected(known.Address, now) || t.cut(known.Zone, now),
 		Probing:  health.Probing(known.Address),
+		Backlog:  max(known.prefill, known.delayAt(now)),
+	}
+}
+
+// cut reports whether another zone seems to be out of reach.
+func (t *Tracker) cut(zone string, now time.Time) bool {
+	return zone != t.zone && t.reachOf(zone).suspect(now)
+}
+
+func (t *Tracker) reachOf(zone string) *reach {
+	known := t.zones[zone]
+	if known == nil {
+		known = &reach{}
+		t.zones[zone] = known
 	}
+	return known
 }
 
 // Outcome is how a request ended at an endpoint.
@@ -304,6 +383,8 @@
 	Good
 	// Bad is a failure that the endpoint is to blame for.
 	Bad
+	// Unreachable is a failure that the way to the endpoint may be to blame for.
+	Unreachable
 )
 
 // End records how the request ended. Pace is the time per event of a stream, or
@@ -317,17 +398,20 @@
 	}
 	c.ended = true
 	c.state.inflight--
-	c.state.tokens -= c.tokens
+	c.leavePrefill()
 	if outcome == Neutral {
 		return
 	}
 	now := t.now()
 	health := t.healthOf(c.Service)
-	if outcome == Bad {
-		health.Failed(c.Address, now)
-	} else {
+	if outcome == Good {
 		health.Succeeded(c.Address, pace, now)
 		health.Recover(c.Address, now)
+	} else {
+		health.Failed(c.Address, now)
+	}
+	if outcome == Unreachable && c.Zone != t.zone && t.reachOf(c.Zone).failed(c.ID, now) {
+		t.logger.Warn("zone seems out of reach", "zone", c.Zone, "endpoint", c.ID)
 	}
 	if health.Judge(c.Address, t.count(c.Service), now) {
 		t.ejections++
@@ -335,6 +419,34 @@
 	}
 }
 
+// Headed records that the answer has begun, after the time since it was sent.
+func (c *Choice) Headed(took time.Duration) {
+	t := c.tracker
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if c.headed || c.ended {
+		return
+	}
+	c.leavePrefill()
+	now := t.now()
+	c.state.delay = max(0, took-c.prefill)
+	c.state.delayed = now
+	if c.Zone != t.zone {
+		t.reachOf(c.Zone).answered()
+	}
+	if c.query.Tokens > 0 {
+		t.learn(c.query, took)
+	}
+}
+
+// leavePrefill takes the prompt off those that wait to be read.
+func (c *Choice) leavePrefill() {
+	if !c.headed {
+		c.headed = true
+		c.state.prefill -= c.prefill
+	}
+}
+
 func (t *Tracker) count(service string) int {
 	count := 0
 	for _, known := range t.endpoints {
