Ask larger models by what the engines can bear

Change: a larger model is asked only if it would likely begin in time, and its price rises with the delay of answers; the smallest model's look goes first at the engines.

--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -90,19 +90,24 @@
 }
 
 func (c *call) pick() (*tracker.Choice, bool) {
+	return c.Tracker.Pick(c.query(c.model()))
+}
+
+// query returns what the choice of an endpoint for a model depends on.
+func (c *call) query(model string) tracker.Query {
 	subject, shared := c.subject()
 	constraint := c.Believer.Version(c.route.Service, c.session(), c.suspect)
-	return c.Tracker.Pick(tracker.Query{
+	return tracker.Query{
 		Service: c.route.Service,
 		Version: constraint.Only,
 		Except:  constraint.Except,
 		Subset:  constraint.Subset,
-		Model:   c.model(),
+		Model:   model,
 		Subject: subject,
 		Shared:  shared,
 		Tokens:  c.Prompt,
 		Tried:   c.tried,
-	})
+	}
 }
 
 // session names what the request belongs to; one without a session stands for
@@ -168,7 +173,7 @@
 		Left:     c.left(),
 		Endpoint: choice.ID,
 		Model:    c.model(),
-		Priority: -1,
+		Priority: c.rank(),
 		After:    c.after,
 	}
 	if c.account != nil {
--- a/internal/forwarder/size.go
+++ b/internal/forwarder/size.go
@@ -37,7 +37,9 @@
 		return false
 	}
 	c.looks = append(c.looks, sizer.Look{Size: c.size, Confidence: notes.Confidence})
-	size, keep := sizer.Next(sizer.Question{Costs: costs, Looks: c.looks, Runs: c.route.Attempts - c.runs})
+	question := sizer.Question{Costs: costs, Looks: c.looks, Runs: c.route.Attempts - c.runs}
+	question.InTime, question.Pressure = c.outlook()
+	size, keep := sizer.Next(question)
 	if keep || time.Until(c.deadline) < time.Duration(minLeft*float64(c.patience())) {
 		return false
 	}
@@ -53,3 +55,34 @@
 	c.tried = c.tried[:len(c.tried)-1]
 	return true
 }
+
+// outlook returns the probability that a run on each size begins in time, and
+// the pressure on the engines.
+func (c *call) outlook() (inTime []float64, pressure float64) {
+	left := c.route.Target - time.Since(c.arrived)
+	for _, model := range c.route.Sizes {
+		first, delay := c.Tracker.Expect(c.query(model))
+		inTime = append(inTime, sizer.InTime(first, left))
+		pressure = sizer.Pressure(delay, c.route.Target)
+	}
+	return inTime, pressure
+}
+
+const (
+	// rankFirst goes before rankOther at an engine: the smallest model's look is
+	// short, and behind a long prompt it would wait many times its own time.
+	rankFirst = 4
+	rankOther = 5
+)
+
+// rank is the request's rank at the endpoint; negative for none.
+func (c *call) rank() int {
+	switch {
+	case !c.ModelFree || len(c.route.Sizes) == 0:
+		return -1
+	case c.size == 0:
+		return rankFirst
+	default:
+		return rankOther
+	}
+}
--- a/internal/sizer/sizer.go
+++ b/internal/sizer/sizer.go
@@ -4,7 +4,10 @@
 // the smallest model looks first, since its look costs little. It is pure.
 package sizer
 
-import "math"
+import (
+	"math"
+	"time"
+)
 
 const (
 	// confidenceEven is the confidence at which an answer is as likely good as
@@ -41,6 +44,9 @@
 	Runs int
 	// Pressure adds to the price of a run while engines are short; 0 for none.
 	Pressure float64
+	// InTime is the probability that a run on each size would begin in time; nil
+	// when that is certain.
+	InTime []float64
 }
 
 // First returns the size to begin with.
@@ -66,14 +72,47 @@
 // an intermediate size the largest may still follow.
 func (q Question) worth(size int) float64 {
 	good := q.good(size)
-	worth := good - q.price(size)
+	worth := good*q.inTime(size) - q.price(size)
 	largest := len(q.Costs) - 1
 	if size < largest && q.Runs > 1 {
-		worth += (1 - good) * math.Max(0, largestGood-q.price(largest))
+		worth += (1 - good) * math.Max(0, largestGood*q.inTime(largest)-q.price(largest))
 	}
 	return worth
 }
 
+func (q Question) inTime(size int) float64 {
+	if size >= len(q.InTime) {
+		return 1
+	}
+	return q.InTime[size]
+}
+
+const (
+	// pressureOfDelay is the pressure of a delay as long as the time in which an
+	// answer must begin.
+	pressureOfDelay = 1.0
+	// expectSpread and expectNoise are the standard deviation of the time to the
+	// first token, as a share of the expected one and on top of it.
+	expectSpread = 0.4
+	expectNoise  = 100 * time.Millisecond
+)
+
+// Pressure returns the pressure when answers begin later, by the delay, than
+// their prompts explain.
+func Pressure(delay, target time.Duration) float64 {
+	if target <= 0 {
+		return 0
+	}
+	return pressureOfDelay * float64(delay) / float64(target)
+}
+
+// InTime returns the probability that an answer expected after some time begins
+// within the time that is left.
+func InTime(expected, left time.Duration) float64 {
+	spread := expectSpread*float64(expected) + float64(expectNoise)
+	return normal(float64(left-expected) / spread)
+}
+
 // price is the price of a run as a share of a good answer's worth.
 func (q Question) price(size int) float64 {
 	dearest := q.Costs[len(q.Costs)-1]
--- a/internal/sizer/sizer_test.go
+++ b/internal/sizer/sizer_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"pgregory.net/rapid"
 
@@ -66,3 +67,19 @@
 		}
 	})
 }
+
+func TestALargerModelThatWouldBeLateIsNotAsked(t *testing.T) {
+	question := sizer.Question{
+		Costs: costs,
+		Looks: []sizer.Look{{Size: 0, Confidence: 20}},
+		Runs:  1,
+		InTime: []float64{
+			sizer.InTime(50*time.Millisecond, time.Second),
+			sizer.InTime(300*time.Millisecond, time.Second),
+			sizer.InTime(3*time.Second, time.Second),
+		},
+	}
+	if size, keep := sizer.Next(question); keep || size != 1 {
+		t.Errorf("Next() got %d, %t, want the middle size", size, keep)
+	}
+}
--- a/internal/tracker/prefill.go
+++ b/internal/tracker/prefill.go
@@ -46,6 +46,25 @@
 	t.speeds[query.Model] = speed + smoothing*(seen-speed)
 }
 
+// delaySmoothing is the weight of the newest answer in the mean delay.
+const delaySmoothing = 0.05
+
+// Expect returns the time after which an answer to the query would begin at the
+// best endpoint, and the mean delay of answers beyond what their prompts
+// explain.
+func (t *Tracker) Expect(query Query) (first, delay time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := t.now()
+	best := time.Duration(math.MaxInt64)
+	for _, view := range t.views(t.fitting(query, now), query, now) {
+		if !view.Ejected {
+			best = min(best, view.Backlog+view.Miss)
+		}
+	}
+	return min(best, time.Hour) + t.readTime(query.Model, query.Tokens-query.Shared), t.meanDelay
+}
+
 // delayAt is the delay that is still expected at the endpoint.
 func (s *state) delayAt(now time.Time) time.Duration {
 	age := now.Sub(s.delayed)
--- a/internal/tracker/tracker.go
+++ b/internal/tracker/tracker.go
@@ -82,6 +82,8 @@
 	health    map[string]*picker.Health
 	zones     map[string]*reach
 	speeds    map[string]float64
+	// meanDelay is by how much answers begin later than their prompts explain.
+	meanDelay time.Duration
 	zone      string
 	random    *rand.Rand
 	now       func() time.Time
@@ -431,6 +433,9 @@
 	now := t.now()
 	c.state.delay = max(0, took-c.prefill)
 	c.state.delayed = now
+	if c.query.Tokens > 0 {
+		t.meanDelay += time.Duration(delaySmoothing * float64(c.state.delay-t.meanDelay))
+	}
 	if c.Zone != t.zone {
 		t.reachOf(c.Zone).answered()
 	}
