Pace reads and keep the proof of reading young

Change: after records a subscriber pauses, so that records share a read; reads of the operators' topic wait 1.7 s.

--- a/internal/runner/beliefs.go
+++ b/internal/runner/beliefs.go
@@ -8,8 +8,9 @@
 )
 
 // proofShare is the share of the time within which a withdrawn key must stop
-// working for which a proof of reading counts.
-const proofShare = 0.9
+// working for which a proof of reading counts; the rest is for clocks that run
+// at different rates.
+const proofShare = 0.96
 
 // View implements forwarder.Believer.
 func (r *Runner) View() forwarder.View {
--- a/internal/runner/rollouts.go
+++ b/internal/runner/rollouts.go
@@ -20,9 +20,11 @@
 	// decideInterval is how often running roll-outs are looked at.
 	decideInterval = 200 * time.Millisecond
 	// reportInterval is the least time between two reports of a daemon.
-	reportInterval = 400 * time.Millisecond
+	reportInterval = 800 * time.Millisecond
 	// writeSpread spreads the daemons' attempts to write the same progress.
 	writeSpread = time.Second
+	// resultsPace is the pause after results have come.
+	resultsPace = 500 * time.Millisecond
 	// progressWait is how long a read waits for progress or results.
 	progressWait = 3 * time.Second
 	// progressAge is the age of what is known of a roll-out beyond which no more
@@ -79,8 +81,8 @@
 		sessions: promoter.NewSessions(r.settings.Session),
 		usual:    map[usualKey]usual{},
 	}
-	o.status = subscriber.New("status", r.process.Status, progressWait, r.process.Clock, o.takeStatus, r.logger)
-	o.results = subscriber.New("results", r.process.Results, progressWait, r.process.Clock, o.takeResults, r.logger)
+	o.status = subscriber.New("status", r.process.Status, subscriber.Times{Wait: progressWait}, r.process.Clock, o.takeStatus, r.logger)
+	o.results = subscriber.New("results", r.process.Results, subscriber.Times{Wait: progressWait, Pace: resultsPace}, r.process.Clock, o.takeResults, r.logger)
 	return o
 }
 
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -81,9 +81,12 @@
 	// operatorWait is how long a read waits for a declaration. The age of the
 	// proof of reading stays well under the time that a key may outlive its
 	// withdrawal.
-	operatorWait = 3 * time.Second
-	// endpointsWait is how long a read waits for a registration.
+	operatorWait = 1700 * time.Millisecond
+	// endpointsWait is how long a read waits for a registration, endpointsPace the
+	// pause after one; it is well under the time in which a leaving endpoint must
+	// get no more work.
 	endpointsWait = 10 * time.Second
+	endpointsPace = 500 * time.Millisecond
 	// sweepInterval is how often idle connections are looked at.
 	sweepInterval = time.Second
 )
@@ -144,8 +147,8 @@
 		Logger:    r.logger,
 		Counters:  forwarder.NewCounters(r.metrics),
 	})
-	r.declared = subscriber.New("operator", process.Operator, operatorWait, process.Clock, r.takeDeclared, r.logger)
-	r.registered = subscriber.New("endpoints", process.Endpoints, endpointsWait, process.Clock, r.takeRegistered, r.logger)
+	r.declared = subscriber.New("operator", process.Operator, subscriber.Times{Wait: operatorWait}, process.Clock, r.takeDeclared, r.logger)
+	r.registered = subscriber.New("endpoints", process.Endpoints, subscriber.Times{Wait: endpointsWait, Pace: endpointsPace}, process.Clock, r.takeRegistered, r.logger)
 	return r, r.listen()
 }
 
--- a/internal/subscriber/subscriber.go
+++ b/internal/subscriber/subscriber.go
@@ -78,6 +78,7 @@
 	name   string
 	source Source
 	wait   time.Duration
+	pace   time.Duration
 	clock  Clock
 	handle func(Change)
 	logger hclog.Logger
@@ -96,39 +97,56 @@
 	answered time.Duration
 }
 
-// New returns a subscriber that lets reads wait for records. The handler is
-// called from Run, one change at a time.
-func New(name string, source Source, wait time.Duration, clock Clock, handle func(Change), logger hclog.Logger) *Subscriber {
-	return &Subscriber{name: name, source: source, wait: wait, clock: clock, handle: handle, logger: logger}
+// Times are those of a subscriber's reads.
+type Times struct {
+	// Wait is how long a read waits for records.
+	Wait time.Duration
+	// Pace is the pause after records have come. Many writers' records then share
+	// a read: without it each record would cost one read of every subscriber.
+	Pace time.Duration
+}
+
+// New returns a subscriber. The handler is called from Run, one change at a
+// time.
+func New(name string, source Source, times Times, clock Clock, handle func(Change), logger hclog.Logger) *Subscriber {
+	return &Subscriber{name: name, source: source, wait: times.Wait, pace: times.Pace, clock: clock, handle: handle, logger: logger}
 }
 
 // Run follows the topic until ctx ends.
 func (s *Subscriber) Run(ctx context.Context) error {
 	backoff := minBackoff
 	for ctx.Err() == nil {
-		err := s.step(ctx)
+		came, err := s.step(ctx)
 		if ctx.Err() != nil {
 			break
 		}
 		s.note(err)
 		if err == nil {
 			backoff = minBackoff
+			if came && s.pace > 0 {
+				sleep(ctx, s.pace)
+			}
 			continue
 		}
-		pause := time.Duration((0.5 + rand.Float64()/2) * float64(backoff))
+		sleep(ctx, time.Duration((0.5+rand.Float64()/2)*float64(backoff)))
 		backoff = min(2*backoff, maxBackoff)
-		select {
-		case <-time.After(pause):
-		case <-ctx.Done():
-		}
 	}
 	return ctx.Err()
 }
 
-// step makes one read.
-func (s *Subscriber) step(ctx context.Context) error {
+func sleep(ctx context.Context, pause time.Duration) {
+	timer := time.NewTimer(pause)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
+// step makes one read; it reports whether records came.
+func (s *Subscriber) step(ctx context.Context) (came bool, err error) {
 	if !s.known {
-		return s.readAll(ctx)
+		return true, s.readAll(ctx)
 	}
 	asked := s.clock()
 	wait := s.wait
@@ -143,10 +161,10 @@
 	if errors.Is(err, ErrExpired) {
 		s.logger.Info("records expired unread; reading all keys", "topic", s.name, "offset", s.next)
 		s.known = false
-		return nil
+		return false, nil
 	}
 	if err != nil {
-		return err
+		return false, err
 	}
 	s.advance(page.Next)
 	if len(page.Items) > 0 {
@@ -156,7 +174,7 @@
 		asked += wait
 	}
 	s.prove(asked, page.Next >= page.End)
-	return nil
+	return len(page.Items) > 0, nil
 }
 
 // advance sets the offset to read from.
