Let endpoints that take no connection rest

Cause: an endpoint whose process is gone has no backlog and drew all requests of its subjects until four results had ejected it; refused connections used up the retry budget although nothing had arrived. Change: an endpoint without a connection rests for 0.5 to 4 s and counts for its zone's reach; only what has arrived makes the next attempt a repeat. Progress and results of roll-outs are read with a longer wait.

--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -20,7 +20,7 @@
 	// maxAnswer bounds an answer that is held as a whole.
 	maxAnswer = 8 << 20
 	// maxSends bounds how often one request is offered, refusals included.
-	maxSends = 6
+	maxSends = 10
 	// firstBytes and moreBytes are the buffer sizes of answers.
 	pieceBytes = 4 << 10
 )
@@ -48,7 +48,8 @@
 	var held *answer
 	last := classifier.New(classifier.NoEndpoint, "no endpoint of service %q takes work", c.route.Service)
 	for sends := 0; sends < maxSends; sends++ {
-		if sends > 0 && !c.paid && !budget.Spend() {
+		// Only what has reached an endpoint makes the next one a repeat.
+		if c.reached > 0 && !c.paid && !budget.Spend() {
 			last = classifier.Wrap(last.Kind, last, "no more repeats are allowed now")
 			break
 		}
@@ -194,6 +195,7 @@
 	if notes.HasLoad {
 		choice.Report(notes.Running, notes.Waiting)
 	}
+	c.reached++
 	if notes.Refused {
 		return c.refused(choice, reply, notes)
 	}
@@ -209,14 +211,15 @@
 // unanswered handles an attempt without an answer.
 func (c *call) unanswered(ctx context.Context, choice *tracker.Choice, failure *exchanger.Failure) (verdict, *answer, *classifier.Error) {
 	outcome, blame := failed, tracker.Bad
-	if failure.Unreachable() {
-		blame = tracker.Unreachable
-	}
 	if failure.Stage == exchanger.Unsent {
-		outcome = unrun
+		outcome, blame = unrun, tracker.Down
 	} else {
+		c.reached++
 		c.runs++
 	}
+	if failure.Unreachable() {
+		blame = tracker.Unreachable
+	}
 	if ctx.Err() != nil {
 		blame = tracker.Neutral
 	} else if outcome == failed {
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -177,6 +177,8 @@
 	deadline time.Time
 	// tried are the endpoints that have got the request.
 	tried []string
+	// reached counts the endpoints that it has reached.
+	reached int
 	// runs counts the endpoints that may have run it.
 	runs int
 	// size is the index of the model that the request runs on, looks are the
--- a/internal/runner/rollouts.go
+++ b/internal/runner/rollouts.go
@@ -26,10 +26,10 @@
 	// resultsPace is the pause after results have come.
 	resultsPace = 500 * time.Millisecond
 	// progressWait is how long a read waits for progress or results.
-	progressWait = 3 * time.Second
+	progressWait = 8 * time.Second
 	// progressAge is the age of what is known of a roll-out beyond which no more
-	// sessions get the new version.
-	progressAge = 5 * time.Second
+	// sessions get the new version. A read that fails says so before that.
+	progressAge = progressWait + 2*time.Second
 	// writeTimeout bounds one write.
 	writeTimeout = time.Second
 )
@@ -201,6 +201,11 @@
 	return age
 }
 
+// stale reports whether what is known of roll-outs may lack news.
+func (o *rollouts) stale(topic *subscriber.Subscriber) bool {
+	return topic.Failing() || o.age(topic) > progressAge
+}
+
 // run follows progress while a roll-out is under way, and drives it.
 func (o *rollouts) run(ctx context.Context) error {
 	for {
@@ -428,7 +433,7 @@
 		// A daemon that has run for less than a session's pause cannot know of
 		// sessions that others have served.
 	}
-	if o.age(o.status) > progressAge || o.age(o.results) > progressAge {
+	if o.stale(o.status) || o.stale(o.results) {
 		return false
 	}
 	return promoter.Chosen(session, known.order, promoter.Share(known.state, o.settings.Expose))
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -86,7 +86,7 @@
 	// pause after one; it is well under the time in which a leaving endpoint must
 	// get no more work.
 	endpointsWait = 10 * time.Second
-	endpointsPace = 500 * time.Millisecond
+	endpointsPace = 800 * time.Millisecond
 	// sweepInterval is how often idle connections are looked at.
 	sweepInterval = time.Second
 )
--- a/internal/tracker/tracker.go
+++ b/internal/tracker/tracker.go
@@ -69,6 +69,10 @@
 	reported time.Time
 	// rank orders endpoints at random, alike on all daemons.
 	rank uint64
+	// down is until when the endpoint gets no work after its host refused or did
+	// not take a connection; downs counts how often in a row.
+	down  time.Time
+	downs int
 	// misdirected is set when another endpoint answered at the address.
 	misdirected bool
 	// lapses is when an endpoint without a record is forgotten; zero for never.
@@ -130,6 +134,8 @@
 		t.logChange("endpoint started again", registration)
 		t.healthOf(registration.Service).Forget(registration.Address)
 		known.others = 0
+		known.down = time.Time{}
+		known.downs = 0
 		known.misdirected = false
 		return
 	}
@@ -354,7 +360,7 @@
 		Slots:    known.Slots,
 		Load:     load,
 		Slowness: health.Slowness(known.Address),
-		Ejected:  health.Ejected(known.Address, now) || t.cut(known.Zone, now),
+		Ejected:  health.Ejected(known.Address, now) || now.Before(known.down) || t.cut(known.Zone, now),
 		Probing:  health.Probing(known.Address),
 		Backlog:  max(known.prefill, known.delayAt(now)),
 	}
@@ -385,10 +391,20 @@
 	Good
 	// Bad is a failure that the endpoint is to blame for.
 	Bad
+	// Down is a connection that was not to be had.
+	Down
 	// Unreachable is a failure that the way to the endpoint may be to blame for.
 	Unreachable
 )
 
+const (
+	// minDown and maxDown bound the time without work after a connection was not
+	// to be had. An endpoint that is down has no backlog and would draw all
+	// requests.
+	minDown = 500 * time.Millisecond
+	maxDown = 4 * time.Second
+)
+
 // End records how the request ended. Pace is the time per event of a stream, or
 // 0 when unknown. Only the first call counts.
 func (c *Choice) End(outcome Outcome, pace time.Duration) {
@@ -406,13 +422,18 @@
 	}
 	now := t.now()
 	health := t.healthOf(c.Service)
-	if outcome == Good {
+	switch outcome {
+	case Good:
+		c.state.downs = 0
 		health.Succeeded(c.Address, pace, now)
 		health.Recover(c.Address, now)
-	} else {
+	case Down, Unreachable:
+		c.state.down = now.Add(min(maxDown, minDown<<min(c.state.downs, 4)))
+		c.state.downs++
+	case Neutral, Bad:
 		health.Failed(c.Address, now)
 	}
-	if outcome == Unreachable && c.Zone != t.zone && t.reachOf(c.Zone).failed(c.ID, now) {
+	if outcome >= Down && c.Zone != t.zone && t.reachOf(c.Zone).failed(c.ID, now) {
 		t.logger.Warn("zone seems out of reach", "zone", c.Zone, "endpoint", c.ID)
 	}
 	if health.Judge(c.Address, t.count(c.Service), now) {
