Tell other daemons which sessions run on the old version

Change: sessions are remembered before a roll-out too and while a request runs; shortly after a trial begins each daemon tells which of the trial's sessions run on the old version; the trial opens after that. The share shrinks with the service. Slowness counts in the trial alone, against what was expected.

--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -97,7 +97,7 @@
 // query returns what the choice of an endpoint for a model depends on.
 func (c *call) query(model string) tracker.Query {
 	subject, shared := c.subject()
-	constraint := c.Believer.Version(c.route.Service, c.session(), c.suspect)
+	constraint := c.Believer.Version(Question{Service: c.route.Service, Session: c.Session, Request: c.ID, Failed: c.suspect})
 	return tracker.Query{
 		Service: c.route.Service,
 		Version: constraint.Only,
@@ -111,15 +111,6 @@
 	}
 }
 
-// session names what the request belongs to; one without a session stands for
-// itself.
-func (c *call) session() string {
-	if c.Session == "" {
-		return c.ID
-	}
-	return c.Session
-}
-
 // ran records a result of the endpoint's version.
 func (c *call) ran(choice *tracker.Choice, good bool, first, pace time.Duration) {
 	c.suspect = c.suspect || !good
@@ -130,6 +121,7 @@
 		Route:    c.route.Name,
 		Model:    c.model(),
 		Good:     good,
+		Expected: choice.Expected(),
 		First:    first,
 		Pace:     pace,
 	})
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -109,13 +109,23 @@
 // Believer tells what the daemon believes.
 type Believer interface {
 	View() View
-	// Version returns the version that a request of a session must run on. Failed
-	// is set when the request has already failed on the version of a roll-out.
-	Version(service, session string, failed bool) Constraint
+	// Version returns the version that a request must run on.
+	Version(question Question) Constraint
 	// Ran records a result of a version.
 	Ran(result Result)
-	// Ended records that a session's request has ended.
-	Ended(service, session string)
+	// Entered records that a session's request has come, Left that it has ended.
+	Entered(session string)
+	Left(session string)
+}
+
+// Question is what the version of a request depends on.
+type Question struct {
+	Service string
+	// Session is what the request belongs to; empty for none.
+	Session string
+	Request string
+	// Failed is set when the request has failed on the version of a roll-out.
+	Failed bool
 }
 
 // Constraint restricts the endpoints of a request to versions.
@@ -137,6 +147,9 @@
 	Route    string
 	Model    string
 	Good     bool
+	// Expected is the time to the head of the answer that the endpoint's backlog
+	// and the prompt explained.
+	Expected time.Duration
 	// First is the time to the head of the answer, Pace the time per event after
 	// it; 0 when unknown.
 	First time.Duration
@@ -212,7 +225,8 @@
 	}
 	ctx, cancel := context.WithDeadline(request.Context(), c.deadline)
 	defer cancel()
-	defer func() { f.Believer.Ended(c.route.Service, c.session()) }()
+	f.Believer.Entered(c.Session)
+	defer f.Believer.Left(c.Session)
 	if err := c.run(ctx); err != nil {
 		c.fail(ctx, err)
 	}
--- a/internal/forwarder/reject.go
+++ b/internal/forwarder/reject.go
@@ -53,7 +53,7 @@
 	if level < c.Logger.GetLevel() {
 		return
 	}
-	fields := []any{"request", c.ID, "age", time.Since(c.arrived), "view_age", c.view.Age}
+	fields := []any{"request", c.ID, "session", c.Session, "age", time.Since(c.arrived), "view_age", c.view.Age}
 	if c.view.Table != nil {
 		fields = append(fields, "revision", c.view.Table.Revision)
 	}
--- a/internal/promoter/promoter.go
+++ b/internal/promoter/promoter.go
@@ -48,6 +48,8 @@
 	// Order is the offset of the order.
 	Order int64
 	State State
+	// Share is the share of the sessions that get the new version in a trial.
+	Share float64
 	// Since is the time of day at which the order was first seen.
 	Since time.Time
 }
@@ -61,9 +63,12 @@
 }
 
 const (
-	// trialShare is the share of the sessions that get the new version at first.
-	// It stays well under the exposure that operators allow.
+	// trialShare is the largest share of the sessions that get the new version at
+	// first. It stays well under the exposure that operators allow.
 	trialShare = 0.10
+	// trialEndpoints times the trial's share is the number of endpoints whose
+	// usual load a trial sees: a large service needs a smaller share.
+	trialEndpoints = 1.5
 	// trialOfBound caps it at a share of the allowed exposure.
 	trialOfBound = 0.7
 	// fullAt and completeAt are shares of the order's duration. Between them the
@@ -86,16 +91,27 @@
 	pinUntil = 0.5
 )
 
-// Share returns the share of the sessions that get the new version.
-func Share(state State, bound float64) float64 {
-	switch state {
-	case Full, Completed:
-		return 1
-	case Trial:
-		return min(trialShare, trialOfBound*bound)
-	case Waiting, RolledBack:
-	}
-	return 0
+// TrialShare returns the share of the sessions that get the new version in a
+// trial, when the old one has a number of endpoints and operators allow a share.
+func TrialShare(old int, bound float64) float64 {
+	return min(trialShare, trialOfBound*bound, trialEndpoints/float64(max(1, old)))
+}
+
+const (
+	// listAt is the time in a trial at which daemons tell each other which
+	// sessions run on the old version, openAt that at which others may run on the
+	// new one.
+	listAt = 700 * time.Millisecond
+	openAt = 1100 * time.Millisecond
+)
+
+// Listing reports whether the sessions that run on the old version are to be
+// told now.
+func Listing(state State, inState time.Duration) bool { return state == Trial && inState >= listAt }
+
+// Open reports whether sessions may run on the new version.
+func Open(state State, inState time.Duration) bool {
+	return state >= Full && state != RolledBack || state == Trial && inState >= openAt
 }
 
 // Movable reports whether a session that runs on the old version may move.
--- a/internal/promoter/sessions.go
+++ b/internal/promoter/sessions.go
@@ -9,7 +9,13 @@
 // seen is the newest run of a session.
 type seen struct {
 	version string
+	// at is the newest start or end of a run.
 	at      time.Time
+	running int
+}
+
+func (s seen) over(now time.Time, pause time.Duration) bool {
+	return s.running == 0 && now.Sub(s.at) > pause
 }
 
 // maxSessions bounds the sessions that are remembered.
@@ -27,40 +33,64 @@
 	return &Sessions{pause: pause, runs: map[string]seen{}}
 }
 
-// Ran records a run of a session.
-func (s *Sessions) Ran(session, version string, now time.Time) {
-	if session == "" || len(s.runs) >= maxSessions {
+// Began records the version that a session's request is to run on.
+func (s *Sessions) Began(session, version string, now time.Time) {
+	known, ok := s.runs[session]
+	if session == "" || !ok && len(s.runs) >= maxSessions {
+		return
+	}
+	s.runs[session] = seen{version, now, known.running}
+}
+
+// Entered records that a session's request has come, Left that it has ended: the
+// pause counts from there.
+func (s *Sessions) Entered(session string, now time.Time) { s.count(session, 1, now) }
+
+// Left records that a session's request has ended.
+func (s *Sessions) Left(session string, now time.Time) { s.count(session, -1, now) }
+
+func (s *Sessions) count(session string, change int, now time.Time) {
+	known, ok := s.runs[session]
+	if session == "" || !ok && (change < 0 || len(s.runs) >= maxSessions) {
 		return
 	}
-	s.runs[session] = seen{version, now}
+	s.runs[session] = seen{known.version, now, max(0, known.running+change)}
 }
 
 // Version returns the version that the session ran on; empty when it has ended
 // or is not known.
 func (s *Sessions) Version(session string, now time.Time) string {
 	known, ok := s.runs[session]
-	if !ok || now.Sub(known.at) > s.pause {
+	if !ok || known.over(now, s.pause) {
 		return ""
 	}
 	return known.version
 }
 
-// Ended records the end of a session's newest run: the pause counts from it.
-func (s *Sessions) Ended(session string, now time.Time) {
-	if known, ok := s.runs[session]; ok {
-		s.runs[session] = seen{known.version, now}
-	}
-}
-
 // Sweep forgets the sessions that have ended.
 func (s *Sessions) Sweep(now time.Time) {
 	for session, known := range s.runs {
-		if now.Sub(known.at) > s.pause {
+		if known.over(now, s.pause) {
 			delete(s.runs, session)
 		}
 	}
 }
 
+// Held returns the digests of the sessions that are among the share but run on
+// another version than the order's.
+func (s *Sessions) Held(order Order, share float64, now time.Time) []uint64 {
+	var held []uint64
+	for session, known := range s.runs {
+		if known.version != order.Target && !known.over(now, s.pause) && Chosen(session, order, share) {
+			held = append(held, Digest(session))
+		}
+	}
+	return held
+}
+
+// Digest identifies a session in reports.
+func Digest(session string) uint64 { return xxhash.Sum64String(session) }
+
 // Chosen reports whether a session is among the share that gets the new
 // version. All daemons agree, and a larger share includes a smaller one.
 func Chosen(session string, order Order, share float64) bool {
--- a/internal/runner/beliefs.go
+++ b/internal/runner/beliefs.go
@@ -27,12 +27,15 @@
 func (r *Runner) table() *matcher.Table { return r.declaration.Snapshot().table }
 
 // Version implements forwarder.Believer.
-func (r *Runner) Version(service, session string, failed bool) forwarder.Constraint {
-	return r.rollouts.version(service, session, failed)
+func (r *Runner) Version(question forwarder.Question) forwarder.Constraint {
+	return r.rollouts.version(question)
 }
 
 // Ran implements forwarder.Believer.
 func (r *Runner) Ran(result forwarder.Result) { r.rollouts.ran(result) }
 
-// Ended implements forwarder.Believer.
-func (r *Runner) Ended(service, session string) { r.rollouts.ended(service, session) }
+// Entered implements forwarder.Believer.
+func (r *Runner) Entered(session string) { r.rollouts.entered(session) }
+
+// Left implements forwarder.Believer.
+func (r *Runner) Left(session string) { r.rollouts.left(session) }
--- a/internal/runner/rollouts.go
+++ b/internal/runner/rollouts.go
@@ -24,7 +24,7 @@
 	// writeSpread spreads the daemons' attempts to write the same progress.
 	writeSpread = time.Second
 	// resultsPace is the pause after results have come.
-	resultsPace = 500 * time.Millisecond
+	resultsPace = 200 * time.Millisecond
 	// progressWait is how long a read waits for progress or results.
 	progressWait = 8 * time.Second
 	// progressAge is the age of what is known of a roll-out beyond which no more
@@ -47,8 +47,13 @@
 	// reported are the doubts as last reported.
 	reported   int
 	reportedAt time.Duration
-	// reports are the doubts of all daemons by their key.
+	// reports are the doubts of the other daemons by their key.
 	reports map[string]map[string]float64
+	// listed is set when this daemon has told which sessions run on the old
+	// version; sessions are their digests, held those of all daemons.
+	listed   bool
+	sessions []uint64
+	held     map[uint64]bool
 	// adverse is set when the doubts speak against the version.
 	adverse bool
 	// due is when this daemon writes the next state; 0 when it has none to write.
@@ -101,6 +106,7 @@
 		entered: now,
 		doubts:  promoter.NewDoubts(),
 		reports: map[string]map[string]float64{},
+		held:    map[uint64]bool{},
 	}
 	o.services[order.Service] = known
 	o.adopt(known, o.statuses[order.Service])
@@ -147,7 +153,7 @@
 	}
 	now := o.process.Clock()
 	o.logger.Info("roll-out goes on", "service", known.order.Service, "target", known.order.Target,
-		"from", known.state, "to", state, "runs", known.doubts.Runs(), "elapsed", now-known.began)
+		"from", known.state.String(), "to", state.String(), "runs", known.doubts.Runs(), "elapsed", now-known.began)
 	known.state = state
 	known.status = status
 	known.entered = now
@@ -172,6 +178,9 @@
 			continue
 		}
 		known.reports[item.Key] = report.GetDoubts()
+		for _, digest := range report.GetSessions() {
+			known.held[digest] = true
+		}
 		o.judge(known)
 	}
 }
@@ -266,7 +275,6 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	now := o.process.Clock()
-	o.sessions.Sweep(time.Now())
 	var writes []func(context.Context) error
 	for _, known := range o.services {
 		if known.state.Final() {
@@ -282,15 +290,27 @@
 	return writes
 }
 
-// report returns a write of this daemon's doubts if they have grown.
+// report returns a write of this daemon's doubts if they have grown, and of its
+// sessions when they are to be told.
 func (o *rollouts) report(known *rollout, now time.Duration) func(context.Context) error {
+	list := !known.listed && promoter.Listing(known.state, now-known.entered)
+	if list {
+		known.listed = true
+		known.sessions = o.sessions.Held(known.order, known.status.Share, time.Now())
+	}
 	doubts := known.doubts.Endpoints()
-	if len(doubts) == 0 || known.doubts.Runs() == known.reported || now-known.reportedAt < reportInterval {
+	grown := len(doubts) > 0 && known.doubts.Runs() != known.reported && now-known.reportedAt >= reportInterval
+	if !grown && (!list || len(known.sessions) == 0) {
 		return nil
 	}
 	known.reported = known.doubts.Runs()
 	known.reportedAt = now
-	report := &schema.RolloutReport{Service: known.order.Service, Order: known.order.Offset, Doubts: doubts}
+	report := &schema.RolloutReport{
+		Service:  known.order.Service,
+		Order:    known.order.Offset,
+		Doubts:   doubts,
+		Sessions: known.sessions,
+	}
 	return func(ctx context.Context) error {
 		ctx, cancel := context.WithTimeout(ctx, writeTimeout)
 		defer cancel()
@@ -337,16 +357,21 @@
 		return nil
 	}
 	known.due = 0
-	return o.write(known, next, now)
+	share := known.status.Share
+	if known.state == promoter.Waiting {
+		share = promoter.TrialShare(old, o.settings.Expose)
+	}
+	return o.write(known, next, share, now)
 }
 
 // write returns a write of a state on condition that nobody wrote before.
-func (o *rollouts) write(known *rollout, next promoter.State, now time.Duration) func(context.Context) error {
+func (o *rollouts) write(known *rollout, next promoter.State, share float64, now time.Duration) func(context.Context) error {
 	status := promoter.Status{
 		Service: known.order.Service,
 		Target:  known.order.Target,
 		Order:   known.order.Offset,
 		State:   next,
+		Share:   share,
 		Since:   time.Now().Add(known.began - now),
 	}
 	at := o.status.Next()
@@ -362,55 +387,65 @@
 			return nil
 		}
 		if err == nil {
-			o.logger.Info("progress of a roll-out written", "service", status.Service, "target", status.Target, "state", status.State, "at", at)
+			o.logger.Info("progress of a roll-out written", "service", status.Service, "target", status.Target, "state", status.State.String(), "at", at)
 		}
 		return err
 	}
 }
 
-// version returns the version that a session's request must run on.
-func (o *rollouts) version(service, session string, failed bool) forwarder.Constraint {
+// version returns the version that a request must run on.
+func (o *rollouts) version(question forwarder.Question) forwarder.Constraint {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	known := o.services[service]
+	now := time.Now()
+	known := o.services[question.Service]
 	if known == nil {
+		// A roll-out may begin before the session's next request.
+		o.sessions.Began(question.Session, oldVersion, now)
 		return forwarder.Constraint{}
 	}
 	target := known.order.Target
-	now := time.Now()
-	onNew := o.choose(known, session, failed, now)
-	if !known.state.Final() {
-		ran := target
-		if !onNew {
-			// Any other version is the old one.
-			ran = oldVersion
-		}
-		o.sessions.Ran(session, ran, now)
-	}
-	switch {
-	case !onNew:
+	if !o.choose(known, question, now) {
+		o.sessions.Began(question.Session, oldVersion, now)
 		return forwarder.Constraint{Except: target}
-	case known.state == promoter.Trial:
-		return forwarder.Constraint{Only: target, Subset: 2 * promoter.Share(known.state, o.settings.Expose)}
-	default:
-		return forwarder.Constraint{Only: target}
 	}
+	o.sessions.Began(question.Session, target, now)
+	if known.state == promoter.Trial {
+		return forwarder.Constraint{Only: target, Subset: subsetOfShare * known.status.Share}
+	}
+	return forwarder.Constraint{Only: target}
 }
 
-// ended records that a session's request has ended.
-func (o *rollouts) ended(service, session string) {
+// subsetOfShare times the share of the sessions in a trial is the share of the
+// new endpoints that serve them: they are then under half of their usual load.
+const subsetOfShare = 2
+
+// entered records that a session's request has come.
+func (o *rollouts) entered(session string) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	if known := o.services[service]; known != nil && !known.state.Final() {
-		o.sessions.Ended(session, time.Now())
-	}
+	o.sessions.Entered(session, time.Now())
+}
+
+// left records that a session's request has ended.
+func (o *rollouts) left(session string) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.sessions.Left(session, time.Now())
+}
+
+// sweep forgets sessions that have ended.
+func (o *rollouts) sweep() {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.sessions.Sweep(time.Now())
 }
 
 // oldVersion stands for any version but the target.
 const oldVersion = "old"
 
-// choose reports whether the session's request goes to the new version.
-func (o *rollouts) choose(known *rollout, session string, failed bool, now time.Time) bool {
+// choose reports whether the request goes to the new version.
+func (o *rollouts) choose(known *rollout, question forwarder.Question, now time.Time) bool {
 	switch {
 	case known.state == promoter.Completed:
 		return true
@@ -418,23 +453,29 @@
 		return false
 	case known.state == promoter.Full:
 		return true
-	case failed:
+	case question.Failed:
 		return false
 	}
-	elapsed := o.process.Clock() - known.began
-	switch o.sessions.Version(session, now) {
+	clock := o.process.Clock()
+	movable := promoter.Movable(known.order, known.state, clock-known.began)
+	switch o.sessions.Version(question.Session, now) {
 	case known.order.Target:
 		return true
 	case oldVersion:
-		if !promoter.Movable(known.order, known.state, elapsed) {
+		if !movable {
 			return false
 		}
-	default:
-		// A daemon that has run for less than a session's pause cannot know of
-		// sessions that others have served.
 	}
-	if o.stale(o.status) || o.stale(o.results) {
+	if !promoter.Open(known.state, clock-known.entered) || o.stale(o.status) || o.stale(o.results) {
+		return false
+	}
+	session := question.Session
+	if session == "" {
+		session = question.Request
+	}
+	if !movable && known.held[promoter.Digest(session)] {
+		// Another daemon has served it on the old version.
 		return false
 	}
-	return promoter.Chosen(session, known.order, promoter.Share(known.state, o.settings.Expose))
+	return promoter.Chosen(session, known.order, known.status.Share)
 }
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -264,7 +264,7 @@
 	})
 }
 
-// sweep closes connections that were idle for too long.
+// sweep closes connections and forgets sessions that were idle for too long.
 func (r *Runner) sweep(ctx context.Context) error {
 	ticker := time.NewTicker(sweepInterval)
 	defer ticker.Stop()
@@ -272,6 +272,7 @@
 		select {
 		case <-ticker.C:
 			r.exchanger.Sweep()
+			r.rollouts.sweep()
 		case <-ctx.Done():
 			return ctx.Err()
 		}
--- a/internal/runner/usual.go
+++ b/internal/runner/usual.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"quetzalgrade.example/quetzalgrade/internal/forwarder"
+	"quetzalgrade.example/quetzalgrade/internal/promoter"
 )
 
 // usualKey is what the time of an answer depends on.
@@ -28,7 +29,7 @@
 	// slowFactor times the usual time is slow, if it is also longer than slowFirst
 	// or slowPace.
 	slowFactor = 4
-	slowFirst  = 300 * time.Millisecond
+	slowFirst  = 400 * time.Millisecond
 	slowPace   = 40 * time.Millisecond
 )
 
@@ -51,7 +52,7 @@
 	if u.count < usualCount {
 		return false
 	}
-	lateFirst := u.first > 0 && result.First > max(slowFirst, slowFactor*u.first)
+	lateFirst := u.first > 0 && result.First > max(slowFirst, slowFactor*u.first, slowFactor*result.Expected)
 	latePace := u.pace > 0 && result.Pace > max(slowPace, slowFactor*u.pace)
 	return lateFirst || latePace
 }
@@ -68,7 +69,12 @@
 		}
 		return
 	}
-	good := result.Good && !o.usual[key].slow(result)
+	good := result.Good
+	if known.state == promoter.Trial {
+		// When all requests move at once, prompts are read anew and answers are
+		// slow for a while, whatever the version.
+		good = good && !o.usual[key].slow(result)
+	}
 	known.doubts.Add(result.Endpoint, result.Route, good)
 	if !good {
 		o.judge(known)
--- a/internal/tracker/tracker.go
+++ b/internal/tracker/tracker.go
@@ -442,6 +442,9 @@
 	}
 }
 
+// Expected is the time after which the answer was expected to begin.
+func (c *Choice) Expected() time.Duration { return c.Backlog + c.prefill }
+
 // Headed records that the answer has begun, after the time since it was sent.
 func (c *Choice) Headed(took time.Duration) {
 	t := c.tracker
