--- a/internal/exchanger/exchanger.go
+++ b/internal/exchanger/exchanger.go
@@ -109,8 +109,6 @@
 type Reply struct {
 	Status int
 	Header http.Header
-	// Length is the length of the body; -1 when unknown.
-	Length int64
 
 	owner    *Exchanger
 	address  netip.AddrPort
@@ -132,28 +130,33 @@
 	}
 	stop := context.AfterFunc(ctx, func() { _ = connection.Close() })
 	written, err := connection.write(message)
-	if err == nil {
-		var response *http.Response
-		if response, err = e.read(connection, message); err == nil {
-			return &Reply{
-				Status:   response.StatusCode,
-				Header:   response.Header,
-				Length:   response.ContentLength,
-				owner:    e,
-				address:  address,
-				conn:     connection,
-				response: response,
-				stop:     stop,
-				written:  written,
-			}, nil
-		}
+	if err != nil {
+		return nil, abandon(ctx, connection, stop, err)
+	}
+	response, err := e.read(connection, message) //nolint:bodyclose // Reply.Close ends it
+	if err != nil {
+		return nil, abandon(ctx, connection, stop, err)
 	}
+	return &Reply{
+		Status:   response.StatusCode,
+		Header:   response.Header,
+		owner:    e,
+		address:  address,
+		conn:     connection,
+		response: response,
+		stop:     stop,
+		written:  written,
+	}, nil
+}
+
+// abandon closes a connection on which the request may have run.
+func abandon(ctx context.Context, connection *conn, stop func() bool, err error) *Failure {
 	stop()
 	_ = connection.Close()
 	if ctx.Err() != nil {
 		err = ctx.Err()
 	}
-	return nil, &Failure{Stage: Sent, Err: err}
+	return &Failure{Stage: Sent, Err: err}
 }
 
 // connect returns an idle connection that is still open, or a new one.
--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -100,7 +100,7 @@
 	constraint := c.Believer.Version(Question{Service: c.route.Service, Session: c.Session, Request: c.ID, Failed: c.suspect})
 	return tracker.Query{
 		Service: c.route.Service,
-		Version: constraint.Only,
+		Only:    constraint.Only,
 		Except:  constraint.Except,
 		Subset:  constraint.Subset,
 		Model:   model,
--- a/internal/runner/follow.go
+++ b/internal/runner/follow.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"quetzalgrade.example/quetzalgrade/internal/matcher"
 	"quetzalgrade.example/quetzalgrade/internal/subscriber"
@@ -45,9 +46,13 @@
 	}
 }
 
+// outageMemory is how long after a failed read a record that is gone may have
+// lapsed only because the log was away.
+const outageMemory = 3 * time.Second
+
 // takeRegistered keeps the endpoints that register.
 func (r *Runner) takeRegistered(change subscriber.Change) {
-	outage := change.Outage > 0
+	outage := r.declared.Troubled(outageMemory) || r.registered.Troubled(outageMemory)
 	seen := map[string]bool{}
 	for _, item := range change.Items {
 		if len(item.Value) == 0 {
--- a/internal/subscriber/subscriber.go
+++ b/internal/subscriber/subscriber.go
@@ -51,8 +51,6 @@
 	// missing are gone.
 	Whole bool
 	Items []Item
-	// Outage is how long the source had not answered before.
-	Outage time.Duration
 }
 
 // Clock returns the time since some fixed moment. It goes on while the machine
@@ -68,9 +66,6 @@
 	// minBackoff and maxBackoff bound the pause after a failed read.
 	minBackoff = 50 * time.Millisecond
 	maxBackoff = 400 * time.Millisecond
-	// outageAfter is the age of the last answer at which the source counts as
-	// away.
-	outageAfter = time.Second
 )
 
 // Subscriber follows one topic.
@@ -93,8 +88,9 @@
 	proven  bool
 	failing bool
 	calls   uint64
-	// answered is the time of the last answer, by the clock.
-	answered time.Duration
+	// failedAt is the time of the last failure if hurt is set.
+	failedAt time.Duration
+	hurt     bool
 }
 
 // Times are those of a subscriber's reads.
@@ -168,7 +164,7 @@
 	}
 	s.advance(page.Next)
 	if len(page.Items) > 0 {
-		s.handle(Change{Items: page.Items, Outage: s.outage()})
+		s.handle(Change{Items: page.Items})
 	} else if s.clock()-asked >= wait {
 		// An empty page says that nothing came during the whole wait.
 		asked += wait
@@ -201,7 +197,7 @@
 	}
 	s.advance(next)
 	s.known = true
-	s.handle(Change{Whole: true, Items: items, Outage: s.outage()})
+	s.handle(Change{Whole: true, Items: items})
 	s.prove(asked, true)
 	return nil
 }
@@ -210,22 +206,17 @@
 func (s *Subscriber) prove(asked time.Duration, atEnd bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.answered = s.clock()
 	if atEnd {
 		s.proof = asked
 		s.proven = true
 	}
 }
 
-// outage returns for how long the source has not answered, when that is long.
-func (s *Subscriber) outage() time.Duration {
+// Troubled reports whether a read has failed within the time.
+func (s *Subscriber) Troubled(within time.Duration) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	silent := s.clock() - s.answered - s.wait
-	if !s.proven || silent < outageAfter {
-		return 0
-	}
-	return silent
+	return s.failing || s.hurt && s.clock()-s.failedAt < within
 }
 
 func (s *Subscriber) failed() bool {
@@ -239,6 +230,10 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.calls++
+	if err != nil {
+		s.hurt = true
+		s.failedAt = s.clock()
+	}
 	failing := err != nil
 	if failing == s.failing {
 		return
--- a/internal/tracker/tracker.go
+++ b/internal/tracker/tracker.go
@@ -210,8 +210,8 @@
 // Query is what the choice of an endpoint depends on.
 type Query struct {
 	Service string
-	// Version restricts the choice to endpoints of a version; empty for any.
-	Version string
+	// Only restricts the choice to endpoints of a version; empty for any.
+	Only string
 	// Except leaves out the endpoints of a version; empty for none.
 	Except string
 	// Model must be loaded; empty for any.
@@ -231,7 +231,7 @@
 	if known.Service != q.Service || slices.Contains(q.Tried, known.ID) {
 		return false
 	}
-	if q.Version != "" && known.Version != q.Version || q.Except != "" && known.Version == q.Except {
+	if q.Only != "" && known.Version != q.Only || q.Except != "" && known.Version == q.Except {
 		return false
 	}
 	return q.Model == "" || len(known.Models) == 0 || slices.Contains(known.Models, q.Model)
@@ -334,6 +334,10 @@
 	return x ^ x>>31
 }
 
+// minSubset is the least number of endpoints of a subset: a single one would
+// not tell a bad version from a broken endpoint.
+const minSubset = 2
+
 // fitting returns the endpoints that may get the request.
 func (t *Tracker) fitting(query Query, now time.Time) []*state {
 	var states []*state
@@ -346,7 +350,8 @@
 		return states
 	}
 	slices.SortFunc(states, func(a, b *state) int { return cmp.Compare(a.rank, b.rank) })
-	return states[:int(math.Ceil(query.Subset*float64(len(states))))]
+	count := max(minSubset, int(math.Ceil(query.Subset*float64(len(states)))))
+	return states[:min(count, len(states))]
 }
 
 func (t *Tracker) view(known *state, health *picker.Health, now time.Time) picker.Endpoint {
