Follow settings, bound log lines, share reports of roll-outs

Cause: settings that changed were ignored; lines were unbounded and printed times as bare numbers; on a grown site each daemon sees a trial request every few seconds, so no daemon alone ever held two bad results, and each report woke all daemons.

--- a/internal/commander/entry.go
+++ b/internal/commander/entry.go
@@ -67,6 +67,7 @@
 		Clock:      runner.SinceBoot,
 		Logs:       logs,
 		Reload:     reload,
+		Load:       func() (runner.Settings, error) { return runner.Load(file) },
 	})
 	if err != nil {
 		return err
--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -12,6 +12,7 @@
 	"quetzalgrade.example/quetzalgrade/internal/classifier"
 	"quetzalgrade.example/quetzalgrade/internal/exchanger"
 	"quetzalgrade.example/quetzalgrade/internal/matcher"
+	"quetzalgrade.example/quetzalgrade/internal/noter"
 	"quetzalgrade.example/quetzalgrade/internal/sizer"
 	"quetzalgrade.example/quetzalgrade/internal/tracker"
 )
@@ -240,7 +241,7 @@
 // about returns the fields of an attempt for a log line.
 func (c *call) about(choice *tracker.Choice, args ...any) []any {
 	return append(args, "endpoint", choice.ID, "address", choice.Address, "version", choice.Version, "model", c.model(),
-		"load", choice.Load, "load_age", choice.ReportAge, "sends", len(c.tried))
+		"load", choice.Load, "backlog", noter.Brief(choice.Backlog), "expected", noter.Brief(choice.Expected()), "sends", len(c.tried))
 }
 
 // whole reads an answer to its end and passes it on.
@@ -273,7 +274,7 @@
 	choice.End(tracker.Good, 0)
 	reply.Close()
 	c.pass(got)
-	c.log(hclog.Debug, "request served", c.about(choice, "status", reply.Status, "took", took)...)
+	c.log(hclog.Info, "request served", c.about(choice, "status", reply.Status, "took", noter.Brief(took))...)
 	return done, nil, nil
 }
 
--- a/internal/forwarder/reject.go
+++ b/internal/forwarder/reject.go
@@ -9,6 +9,7 @@
 	"github.com/hashicorp/go-hclog"
 
 	"quetzalgrade.example/quetzalgrade/internal/classifier"
+	"quetzalgrade.example/quetzalgrade/internal/noter"
 )
 
 // reject answers a request with an error of the router's own. A kind that says
@@ -18,7 +19,8 @@
 		problem = classifier.Wrap(classifier.EndpointFailed, problem, "an endpoint may have run the request")
 	}
 	c.Counters.count("rejected", problem.Kind)
-	c.log(hclog.Info, "request rejected", "kind", problem.Kind, "error", problem.Message, "cause", problem.Cause, "retry_after", problem.RetryAfter)
+	c.log(hclog.Info, "request rejected", "kind", problem.Kind, "error", problem.Error(), "status", problem.Answer().Status,
+		"runs", c.runs, "sends", len(c.tried))
 	if problem.Kind == classifier.CallerGone {
 		panic(http.ErrAbortHandler)
 	}
@@ -53,7 +55,7 @@
 	if level < c.Logger.GetLevel() {
 		return
 	}
-	fields := []any{"request", c.ID, "session", c.Session, "age", time.Since(c.arrived), "view_age", c.view.Age}
+	fields := []any{"request", c.ID, "session", c.Session, "age", noter.Brief(time.Since(c.arrived)), "view_age", noter.Brief(c.view.Age)}
 	if c.view.Table != nil {
 		fields = append(fields, "revision", c.view.Table.Revision)
 	}
--- a/internal/forwarder/stream.go
+++ b/internal/forwarder/stream.go
@@ -13,6 +13,7 @@
 
 	"quetzalgrade.example/quetzalgrade/internal/classifier"
 	"quetzalgrade.example/quetzalgrade/internal/exchanger"
+	"quetzalgrade.example/quetzalgrade/internal/noter"
 	"quetzalgrade.example/quetzalgrade/internal/tracker"
 )
 
@@ -87,7 +88,7 @@
 		c.ran(choice, true, c.headed, pace)
 		c.Counters.Served.Inc()
 		c.Counters.Whole.UpdateDuration(c.arrived)
-		c.log(hclog.Info, "stream served", c.about(choice, "first", c.headed, "events", cut.count, "confidence", notes.Confidence)...)
+		c.log(hclog.Info, "stream served", c.about(choice, "first", noter.Brief(c.headed), "events", cut.count, "confidence", notes.Confidence)...)
 		return done, nil, nil
 	}
 	return c.broken(ctx, choice, err, cut)
--- a/internal/noter/noter.go
+++ b/internal/noter/noter.go
@@ -6,27 +6,39 @@
 	"context"
 	"io"
 	"sync/atomic"
+	"time"
 
 	"github.com/hashicorp/go-hclog"
+	"golang.org/x/time/rate"
 )
 
-// queued is the number of lines that wait to be written.
-const queued = 2048
+const (
+	// queued is the number of lines that wait to be written.
+	queued = 2048
+	// perSecond and burst bound the lines that are written under load.
+	perSecond = 300
+	burst     = 1500
+)
 
 // Noter is an io.Writer that queues lines.
 type Noter struct {
 	lines   chan []byte
 	out     io.Writer
+	limit   *rate.Limiter
 	dropped atomic.Uint64
 }
 
 // New returns a noter that writes to out from Run.
 func New(out io.Writer) *Noter {
-	return &Noter{lines: make(chan []byte, queued), out: out}
+	return &Noter{lines: make(chan []byte, queued), out: out, limit: rate.NewLimiter(perSecond, burst)}
 }
 
 // Write queues one line.
 func (n *Noter) Write(line []byte) (int, error) {
+	if !n.limit.Allow() {
+		n.dropped.Add(1)
+		return len(line), nil
+	}
 	select {
 	case n.lines <- append([]byte(nil), line...):
 	default:
@@ -69,3 +81,6 @@
 func (n *Noter) Logger(name string, level hclog.Level) hclog.Logger {
 	return hclog.New(&hclog.LoggerOptions{Name: name, Level: level, Output: n, JSONFormat: true})
 }
+
+// Brief formats a time for a log line.
+func Brief(length time.Duration) string { return length.Round(10 * time.Microsecond).String() }
--- a/internal/noter/noter_test.go
+++ b/internal/noter/noter_test.go
@@ -54,7 +54,7 @@
 		}
 		synctest.Wait()
 		if got := n.Dropped(); got < 2000 || got >= 5000 {
-			t.Errorf("Dropped() got %d of 5000, want those that did not fit", got)
+			t.Errorf("Dropped() got %d of 5000, want those beyond the bounds", got)
 		}
 		close(hold)
 		cancel()
--- a/internal/promoter/doubt.go
+++ b/internal/promoter/doubt.go
@@ -7,9 +7,8 @@
 	// that of a bad one.
 	usualBad  = 0.05
 	faultyBad = 0.40
-	// singleBad is the doubt that one bad result alone brings; it does not count.
-	singleBad = 2.1
-	// endpointDoubt is the pooled doubt at which an endpoint counts as bad.
+	// endpointDoubt is the pooled doubt at which an endpoint counts as bad: two bad
+	// results with few good ones between them.
 	endpointDoubt = 3.5
 	// badEndpoints is the number of bad endpoints that speak against the version:
 	// one may be broken by itself.
@@ -32,6 +31,7 @@
 type Doubts struct {
 	sums map[place]float64
 	runs int
+	bad  int
 }
 
 // NewDoubts returns no doubts.
@@ -42,21 +42,27 @@
 	d.runs++
 	at := place{endpoint, route}
 	step := math.Log(faultyBad / usualBad)
-	if good {
+	if !good {
+		d.bad++
+	} else {
 		step = math.Log((1 - faultyBad) / (1 - usualBad))
 	}
 	d.sums[at] = min(maxDoubt, max(0, d.sums[at]+step))
 }
 
-// Runs returns the number of results.
+// Runs returns the number of results, Bad that of the bad ones.
 func (d *Doubts) Runs() int { return d.runs }
 
-// Endpoints returns the doubt about each endpoint beyond a single bad result.
+// Bad returns the number of bad results.
+func (d *Doubts) Bad() int { return d.bad }
+
+// Endpoints returns the doubt about each endpoint. A single bad result counts
+// too: on a large fleet each daemon sees few.
 func (d *Doubts) Endpoints() map[string]float64 {
 	doubts := map[string]float64{}
 	for at, sum := range d.sums {
-		if sum > singleBad {
-			doubts[at.endpoint] = max(doubts[at.endpoint], sum-singleBad/2)
+		if sum > 0 {
+			doubts[at.endpoint] = max(doubts[at.endpoint], sum)
 		}
 	}
 	return doubts
--- a/internal/promoter/promoter_test.go
+++ b/internal/promoter/promoter_test.go
@@ -85,6 +85,8 @@
 		"bad late":              {results(2, 320, func(run int) bool { return run >= 150 && run%2 == 0 }), 12, true},
 		"one broken endpoint":   {results(1, 100, func(int) bool { return true }), 12, false},
 		"its only endpoint":     {results(1, 100, func(int) bool { return true }), 1, true},
+		"one bad result at each of many daemons": {append(append(results(2, 2, func(int) bool { return true }),
+			results(2, 2, func(int) bool { return true })...), results(2, 2, func(int) bool { return false })...), 12, true},
 		"pooled over daemons": {append(results(2, 4, func(int) bool { return true }),
 			results(2, 4, func(int) bool { return true })...), 12, true},
 	}
--- a/internal/runner/beliefs.go
+++ b/internal/runner/beliefs.go
@@ -18,7 +18,7 @@
 	return forwarder.View{
 		Table:    r.table(),
 		Age:      age,
-		Fresh:    proven && age < time.Duration(proofShare*float64(r.settings.Revoke)),
+		Fresh:    proven && age < time.Duration(proofShare*float64(r.settings.Load().Revoke)),
 		Stopping: r.stopping.Load(),
 	}
 }
--- a/internal/runner/follow.go
+++ b/internal/runner/follow.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"quetzalgrade.example/quetzalgrade/internal/matcher"
+	"quetzalgrade.example/quetzalgrade/internal/noter"
 	"quetzalgrade.example/quetzalgrade/internal/subscriber"
 )
 
@@ -21,7 +22,7 @@
 			r.declare(*record.Declaration, item.Offset)
 		case record.Order != nil:
 			order := *record.Order
-			r.logger.Info("roll-out ordered", "service", order.Service, "target", order.Target, "duration", order.Duration, "offset", item.Offset)
+			r.logger.Info("roll-out ordered", "service", order.Service, "target", order.Target, "duration", noter.Brief(order.Duration), "offset", item.Offset)
 			r.change(func(state *declared) { state.order(order) })
 			r.rollouts.order(order)
 		case record.Withdrawn != "":
--- a/internal/runner/rollouts.go
+++ b/internal/runner/rollouts.go
@@ -11,6 +11,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"quetzalgrade.example/quetzalgrade/internal/forwarder"
+	"quetzalgrade.example/quetzalgrade/internal/noter"
 	"quetzalgrade.example/quetzalgrade/internal/promoter"
 	"quetzalgrade.example/quetzalgrade/internal/subscriber"
 	"quetzalgrade.example/quetzalgrade/pkg/schema"
@@ -19,12 +20,14 @@
 const (
 	// decideInterval is how often running roll-outs are looked at.
 	decideInterval = 200 * time.Millisecond
-	// reportInterval is the least time between two reports of a daemon.
-	reportInterval = 800 * time.Millisecond
+	// reportInterval is the time between two reports of a daemon. It counts from
+	// the beginning of the state, so that the reports of all daemons come together
+	// and share a read.
+	reportInterval = 1500 * time.Millisecond
 	// writeSpread spreads the daemons' attempts to write the same progress.
 	writeSpread = time.Second
 	// resultsPace is the pause after results have come.
-	resultsPace = 200 * time.Millisecond
+	resultsPace = 300 * time.Millisecond
 	// progressWait is how long a read waits for progress or results.
 	progressWait = 8 * time.Second
 	// progressAge is the age of what is known of a roll-out beyond which no more
@@ -44,9 +47,10 @@
 	began   time.Duration
 	entered time.Duration
 	doubts  *promoter.Doubts
-	// reported are the doubts as last reported.
-	reported   int
-	reportedAt time.Duration
+	// reported is the number of bad results that the newest report told of.
+	reported int
+	// intervals counts the intervals up to the newest report.
+	intervals int64
 	// reports are the doubts of the other daemons by their key.
 	reports map[string]map[string]float64
 	// listed is set when this daemon has told which sessions run on the old
@@ -79,11 +83,11 @@
 func newRollouts(r *Runner) *rollouts {
 	o := &rollouts{
 		Runner:   r,
-		key:      r.settings.Name + "/" + strconv.FormatInt(int64(r.process.Clock()), 36),
+		key:      r.settings.Load().Name + "/" + strconv.FormatInt(int64(r.process.Clock()), 36),
 		active:   make(chan struct{}, 1),
 		services: map[string]*rollout{},
 		statuses: map[string]promoter.Status{},
-		sessions: promoter.NewSessions(r.settings.Session),
+		sessions: promoter.NewSessions(r.settings.Load().Session),
 		usual:    map[usualKey]usual{},
 	}
 	o.status = subscriber.New("status", r.process.Status, subscriber.Times{Wait: progressWait}, r.process.Clock, o.takeStatus, r.logger)
@@ -153,7 +157,7 @@
 	}
 	now := o.process.Clock()
 	o.logger.Info("roll-out goes on", "service", known.order.Service, "target", known.order.Target,
-		"from", known.state.String(), "to", state.String(), "runs", known.doubts.Runs(), "elapsed", now-known.began)
+		"from", known.state.String(), "to", state.String(), "runs", known.doubts.Runs(), "elapsed", noter.Brief(now-known.began))
 	known.state = state
 	known.status = status
 	known.entered = now
@@ -198,7 +202,7 @@
 	if promoter.Adverse(reports, inUse) {
 		known.adverse = true
 		o.logger.Warn("new version is worse", "service", known.order.Service, "target", known.order.Target,
-			"doubts", reports, "runs", known.doubts.Runs(), "elapsed", o.process.Clock()-known.began, "results_age", o.age(o.results))
+			"doubts", reports, "runs", known.doubts.Runs(), "elapsed", noter.Brief(o.process.Clock()-known.began), "results_age", noter.Brief(o.age(o.results)))
 	}
 }
 
@@ -299,12 +303,13 @@
 		known.sessions = o.sessions.Held(known.order, known.status.Share, time.Now())
 	}
 	doubts := known.doubts.Endpoints()
-	grown := len(doubts) > 0 && known.doubts.Runs() != known.reported && now-known.reportedAt >= reportInterval
+	interval := int64((now - known.entered) / reportInterval)
+	grown := known.doubts.Bad() != known.reported && interval != known.intervals
 	if !grown && (!list || len(known.sessions) == 0) {
 		return nil
 	}
-	known.reported = known.doubts.Runs()
-	known.reportedAt = now
+	known.reported = known.doubts.Bad()
+	known.intervals = interval
 	report := &schema.RolloutReport{
 		Service:  known.order.Service,
 		Order:    known.order.Offset,
@@ -359,7 +364,7 @@
 	known.due = 0
 	share := known.status.Share
 	if known.state == promoter.Waiting {
-		share = promoter.TrialShare(old, o.settings.Expose)
+		share = promoter.TrialShare(old, o.settings.Load().Expose)
 	}
 	return o.write(known, next, share, now)
 }
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -73,8 +73,9 @@
 	Results Board
 	Clock   subscriber.Clock
 	Logs    io.Writer
-	// Reload yields when the settings may have changed.
+	// Reload yields when the settings may have changed; Load reads them.
 	Reload <-chan struct{}
+	Load   func() (Settings, error)
 }
 
 const (
@@ -93,7 +94,7 @@
 
 // Runner is one entry daemon.
 type Runner struct {
-	settings Settings
+	settings atomic.Pointer[Settings]
 	process  Process
 	logger   hclog.Logger
 	noter    *noter.Noter
@@ -123,13 +124,14 @@
 func New(settings Settings, process Process) (*Runner, error) {
 	lines := noter.New(process.Logs)
 	r := &Runner{
-		settings: settings,
-		process:  process,
-		noter:    lines,
-		logger:   lines.Logger("entry", settings.Level),
-		system:   keeper.NewSystem(),
-		metrics:  metrics.NewSet(),
+		process: process,
+		noter:   lines,
+		logger:  lines.Logger("entry", settings.Level),
+		system:  keeper.NewSystem(),
+		metrics: metrics.NewSet(),
 	}
+	r.settings.Store(&settings)
+	r.registerMetrics()
 	r.declaration = keeper.New(r.system, newDeclared(), (*declared).view)
 	random := rand.New(rand.NewPCG(uint64(time.Now().UnixNano()), uint64(process.Clock())))
 	r.tracker = tracker.New(settings.Zone, random, time.Now, r.logger)
@@ -171,13 +173,13 @@
 
 func (r *Runner) listen() error {
 	var err error
-	if r.listeners.callers, err = r.process.Network.Listen(r.settings.Callers); err != nil {
+	if r.listeners.callers, err = r.process.Network.Listen(r.settings.Load().Callers); err != nil {
 		return errors.Wrap(err, "listen for callers")
 	}
-	if r.listeners.ready, err = r.process.Network.Listen(r.settings.Ready); err != nil {
+	if r.listeners.ready, err = r.process.Network.Listen(r.settings.Load().Ready); err != nil {
 		return errors.Wrap(err, "listen for readiness checks")
 	}
-	if r.listeners.metrics, err = r.process.Network.Listen(r.settings.Metrics); err != nil {
+	if r.listeners.metrics, err = r.process.Network.Listen(r.settings.Load().Metrics); err != nil {
 		return errors.Wrap(err, "listen for metrics")
 	}
 	return nil
@@ -189,13 +191,14 @@
 	defer cancel()
 	group, groupCtx := errgroup.WithContext(work)
 	r.start(groupCtx, group)
-	r.logger.Info("daemon started", "name", r.settings.Name, "zone", r.settings.Zone, "callers", r.settings.Callers, "store", r.settings.Store)
+	settings := r.settings.Load()
+	r.logger.Info("daemon started", "name", settings.Name, "zone", settings.Zone, "callers", settings.Callers, "store", settings.Store)
 	select {
 	case <-ctx.Done():
 		r.stop(work)
 	case <-groupCtx.Done():
 	}
-	r.logger.Info("daemon stopped", "name", r.settings.Name)
+	r.logger.Info("daemon stopped", "name", settings.Name)
 	cancel()
 	for _, serving := range r.others {
 		_ = serving.Close()
@@ -279,19 +282,6 @@
 	}
 }
 
-// reload takes note of changed settings. None of them changes while a process
-// runs, so that nothing is cut.
-func (r *Runner) reload(ctx context.Context) error {
-	for {
-		select {
-		case <-r.process.Reload:
-			r.logger.Info("reload asked for; settings of a running process do not change")
-		case <-ctx.Done():
-			return ctx.Err()
-		}
-	}
-}
-
 // answerReady tells the balancer whether the daemon takes connections.
 func (r *Runner) answerReady(writer http.ResponseWriter, _ *http.Request) {
 	view := r.View()
@@ -302,6 +292,18 @@
 	_, _ = writer.Write([]byte("ready\n"))
 }
 
+func (r *Runner) registerMetrics() {
+	gauge := func(name string, value func() float64) { r.metrics.NewGauge(name, value) }
+	gauge("log_lines_dropped", func() float64 { return float64(r.noter.Dropped()) })
+	gauge("operator_proof_age_seconds", func() float64 { return r.View().Age.Seconds() })
+	gauge("operator_reads", func() float64 { return float64(r.declared.Calls()) })
+	gauge("endpoint_reads", func() float64 { return float64(r.registered.Calls()) })
+	gauge("endpoints", func() float64 { endpoints, _ := r.tracker.Counts(); return float64(endpoints) })
+	gauge("ejections", func() float64 { _, ejections := r.tracker.Counts(); return float64(ejections) })
+	gauge("connections_opened", func() float64 { opened, _ := r.exchanger.Counts(); return float64(opened) })
+	gauge("foreign_answers", func() float64 { _, strays := r.exchanger.Counts(); return float64(strays) })
+}
+
 func (r *Runner) answerMetrics(writer http.ResponseWriter, _ *http.Request) {
 	r.metrics.WritePrometheus(writer)
 	metrics.WriteProcessMetrics(writer)
--- a/internal/runner/stop.go
+++ b/internal/runner/stop.go
@@ -17,9 +17,9 @@
 
 // stop makes the daemon unready, lets requests end and closes connections.
 func (r *Runner) stop(ctx context.Context) {
-	r.logger.Info("stop began", "grace", r.settings.Grace)
+	r.logger.Info("stop began", "grace", r.settings.Load().Grace)
 	r.stopping.Store(true)
-	ctx, cancel := context.WithTimeout(ctx, r.settings.Grace-stopMargin)
+	ctx, cancel := context.WithTimeout(ctx, r.settings.Load().Grace-stopMargin)
 	defer cancel()
 	select {
 	case <-time.After(unreadyTime):
--- a/internal/subscriber/subscriber.go
+++ b/internal/subscriber/subscriber.go
@@ -11,6 +11,8 @@
 
 	"github.com/go-faster/errors"
 	"github.com/hashicorp/go-hclog"
+
+	"quetzalgrade.example/quetzalgrade/internal/noter"
 )
 
 // ErrExpired is returned by a source whose records from the offset on are gone.
@@ -240,7 +242,7 @@
 	}
 	s.failing = failing
 	if failing {
-		s.logger.Warn("log cannot be read", "topic", s.name, "error", err, "proof_age", s.clock()-s.proof)
+		s.logger.Warn("log cannot be read", "topic", s.name, "error", err, "proof_age", noter.Brief(s.clock()-s.proof))
 		return
 	}
 	s.logger.Info("log can be read again", "topic", s.name, "offset", s.next)
