Keep repeats for requests that fail; try new versions on fewer sessions

Change: larger models leave a reserve of four repeats; a trial begins with half the share and doubles once sessions may move; it opens 0.6 s after the lists.

--- a/internal/forwarder/size.go
+++ b/internal/forwarder/size.go
@@ -12,6 +12,10 @@
 // minLeft is the share of the deadline that must be left for another run.
 const minLeft = 0.5
 
+// repeatReserve are the repeats that are kept for requests that fail: a better
+// answer may be done without.
+const repeatReserve = 4
+
 // costs returns the prices of the sizes that the request may run on, smallest
 // first; nil when the model is not the router's choice.
 func (c *call) costs() []float64 {
@@ -43,7 +47,7 @@
 	if keep || time.Until(c.deadline) < time.Duration(minLeft*float64(c.patience())) {
 		return false
 	}
-	if !c.Budgets.Of(c.route.Service).Spend() {
+	if !c.Budgets.Of(c.route.Service).SpendAbove(repeatReserve) {
 		return false
 	}
 	c.log(hclog.Info, "answer dropped for a larger model", c.about(choice, "confidence", notes.Confidence, "next", c.route.Sizes[size])...)
--- a/internal/promoter/promoter.go
+++ b/internal/promoter/promoter.go
@@ -68,7 +68,7 @@
 	trialShare = 0.10
 	// trialEndpoints times the trial's share is the number of endpoints whose
 	// usual load a trial sees: a large service needs a smaller share.
-	trialEndpoints = 1.5
+	trialEndpoints = 0.75
 	// trialOfBound caps it at a share of the allowed exposure.
 	trialOfBound = 0.7
 	// fullAt and completeAt are shares of the order's duration. Between them the
@@ -102,13 +102,27 @@
 	// sessions run on the old version, openAt that at which others may run on the
 	// new one.
 	listAt = 700 * time.Millisecond
-	openAt = 1100 * time.Millisecond
+	openAt = 1300 * time.Millisecond
 )
 
 // Listing reports whether the sessions that run on the old version are to be
 // told now.
 func Listing(state State, inState time.Duration) bool { return state == Trial && inState >= listAt }
 
+// laterFactor times the trial's share get the new version once sessions may
+// move: until then each session that another daemon has served costs a change of
+// version.
+const laterFactor = 2
+
+// ShareNow returns the share of the sessions that get the new version at a time
+// of the trial.
+func ShareNow(share float64, movable bool) float64 {
+	if movable {
+		return laterFactor * share
+	}
+	return share
+}
+
 // Open reports whether sessions may run on the new version.
 func Open(state State, inState time.Duration) bool {
 	return state >= Full && state != RolledBack || state == Trial && inState >= openAt
--- a/internal/retrier/retrier.go
+++ b/internal/retrier/retrier.go
@@ -44,10 +44,13 @@
 }
 
 // Spend takes one repeat; it reports whether the budget allows it.
-func (b *Budget) Spend() bool {
+func (b *Budget) Spend() bool { return b.SpendAbove(0) }
+
+// SpendAbove takes one repeat if as many as the reserve are left after it.
+func (b *Budget) SpendAbove(reserve float64) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.tokens < 1 {
+	if b.tokens < 1+reserve {
 		return false
 	}
 	b.tokens--
--- a/internal/retrier/retrier_test.go
+++ b/internal/retrier/retrier_test.go
@@ -72,3 +72,20 @@
 		})
 	}
 }
+
+func TestAReserveIsLeft(t *testing.T) {
+	budget := retrier.NewBudgetOf(1, 5)
+	for range 10 {
+		budget.Request()
+	}
+	spent := 0
+	for budget.SpendAbove(3) {
+		spent++
+	}
+	if spent != 2 {
+		t.Errorf("repeats above a reserve of 3 got %d of 5, want 2", spent)
+	}
+	if !budget.Spend() {
+		t.Error("Spend() of the reserve got false, want true")
+	}
+}
--- a/internal/runner/rollouts.go
+++ b/internal/runner/rollouts.go
@@ -27,7 +27,7 @@
 	// writeSpread spreads the daemons' attempts to write the same progress.
 	writeSpread = time.Second
 	// resultsPace is the pause after results have come.
-	resultsPace = 300 * time.Millisecond
+	resultsPace = 250 * time.Millisecond
 	// progressWait is how long a read waits for progress or results.
 	progressWait = 8 * time.Second
 	// progressAge is the age of what is known of a roll-out beyond which no more
@@ -416,7 +416,7 @@
 	}
 	o.sessions.Began(question.Session, target, now)
 	if known.state == promoter.Trial {
-		return forwarder.Constraint{Only: target, Subset: subsetOfShare * known.status.Share}
+		return forwarder.Constraint{Only: target, Subset: subsetOfShare * promoter.ShareNow(known.status.Share, o.movable(known))}
 	}
 	return forwarder.Constraint{Only: target}
 }
@@ -425,6 +425,11 @@
 // new endpoints that serve them: they are then under half of their usual load.
 const subsetOfShare = 2
 
+// movable reports whether sessions may move to the new version.
+func (o *rollouts) movable(known *rollout) bool {
+	return promoter.Movable(known.order, known.state, o.process.Clock()-known.began)
+}
+
 // entered records that a session's request has come.
 func (o *rollouts) entered(session string) {
 	o.mu.Lock()
@@ -462,7 +467,7 @@
 		return false
 	}
 	clock := o.process.Clock()
-	movable := promoter.Movable(known.order, known.state, clock-known.began)
+	movable := o.movable(known)
 	switch o.sessions.Version(question.Session, now) {
 	case known.order.Target:
 		return true
@@ -482,5 +487,5 @@
 		// Another daemon has served it on the old version.
 		return false
 	}
-	return promoter.Chosen(session, known.order, known.status.Share)
+	return promoter.Chosen(session, known.order, promoter.ShareNow(known.status.Share, movable))
 }
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -159,7 +159,7 @@
 	// those of clients count too.
 	repeatShare = 0.85
 	// repeatBurst bounds the repeats that a daemon saves up for one service.
-	repeatBurst = 8
+	repeatBurst = 10
 )
 
 // owns reports whether an answer belongs to the request. Only a refusal may
