--- a/internal/retrier/retrier.go
+++ b/internal/retrier/retrier.go
@@ -28,12 +28,12 @@
 }
 
 // NewBudget returns a budget with a small initial allowance.
-func NewBudget() *Budget { return NewBudgetOf(share, burst) }
+func NewBudget() *Budget { return &Budget{tokens: initial, share: share, burst: burst} }
 
 // NewBudgetOf returns a budget that allows a share of the requests to be
-// repeated and saves up at most burst repeats.
+// repeated. It begins with burst repeats and saves up no more.
 func NewBudgetOf(share, burst float64) *Budget {
-	return &Budget{tokens: min(initial, burst), share: share, burst: burst}
+	return &Budget{tokens: burst, share: share, burst: burst}
 }
 
 // Request adds a request's share.
