--- a/internal/commander/serve.go
+++ b/internal/commander/serve.go
@@ -15,10 +15,12 @@
 	"time"
 
 	"github.com/hashicorp/go-hclog"
+	"github.com/pelletier/go-toml/v2"
 	"github.com/urfave/cli/v3"
 
 	"quetzalgrade.example/quetzalgrade/internal/connector"
 	"quetzalgrade.example/quetzalgrade/internal/declarer"
+	"quetzalgrade.example/quetzalgrade/internal/runner"
 	"quetzalgrade.example/quetzalgrade/internal/server"
 )
 
@@ -98,10 +100,32 @@
 		_, err = declarer.Load(path)
 		return err
 	}
+	if entry, err := isEntry(path); err != nil {
+		return err
+	} else if entry {
+		_, err = runner.Load(path)
+		return err
+	}
 	_, err = server.Load(path)
 	return err
 }
 
+// isEntry reports whether a settings file is one of `quetzalgrade entry`: only
+// these name a store. Text that is not TOML is left to the full check.
+func isEntry(path string) (bool, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return false, err
+	}
+	var settings struct {
+		Store *struct{} `toml:"store"`
+	}
+	if err := toml.Unmarshal(data, &settings); err != nil {
+		return false, nil //nolint:nilerr // server.Load reports it with its line.
+	}
+	return settings.Store != nil, nil
+}
+
 const keyBytes = 32
 
 func keyCommand() *cli.Command {
