Time the platform's way against a pass-through

Cause: make bench had no row for the way that forwards unchanged. Change: benchmarks of the entry daemon, a plain pass-through and the endpoint alone, in one run on loopback.

--- a/Makefile
+++ b/Makefile
@@ -54,7 +54,7 @@
 
 # Times the request path against a plain pass-through in the same run.
 bench:
-	go test -run '^$$' -bench . -benchmem ./internal/benchmarker
+	go test -run '^$$' -bench . -benchmem ./internal/benchmarker ./platform
 
 # Runs the parsers' fuzz targets for a while.
 FUZZ_TIME ?= 30s
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -9,6 +9,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"net/netip"
 	"sync/atomic"
 	"time"
 
@@ -308,3 +309,12 @@
 	r.metrics.WritePrometheus(writer)
 	metrics.WriteProcessMetrics(writer)
 }
+
+// Callers returns the address that clients connect to.
+func (r *Runner) Callers() netip.AddrPort { return connector.Address(r.listeners.callers) }
+
+// Endpoints returns the number of endpoints that are known.
+func (r *Runner) Endpoints() int {
+	endpoints, _ := r.tracker.Counts()
+	return endpoints
+}
