Back long reads by short ones; keep unordered versions out

With a wait of 10 s the same race would hide a leaving endpoint past its bound. Reports of one bad result each came one by one, so that each woke all daemons. Change: a long read is backed by one that does not wait; without an order a service's usual version alone gets requests; reports leave at common times.

--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"github.com/go-faster/errors"
-	"github.com/hashicorp/go-hclog"
 
 	"quetzalgrade.example/quetzalgrade/internal/classifier"
 	"quetzalgrade.example/quetzalgrade/internal/exchanger"
@@ -219,7 +218,7 @@
 		c.ran(choice, false, 0, 0)
 	}
 	choice.End(blame, 0)
-	c.log(hclog.Info, "attempt without answer", c.about(choice, "error", failure.Err, "sent", failure.Stage == exchanger.Sent)...)
+	c.log("attempt without answer", c.about(choice, "error", failure.Err, "sent", failure.Stage == exchanger.Sent)...)
 	kind := classifier.EndpointFailed
 	if outcome == unrun {
 		kind = classifier.NoEndpoint
@@ -234,7 +233,7 @@
 	if notes.Elsewhere {
 		choice.Misdirected()
 	}
-	c.log(hclog.Info, "endpoint refused", c.about(choice, "status", reply.Status, "running", notes.Running, "waiting", notes.Waiting)...)
+	c.log("endpoint refused", c.about(choice, "status", reply.Status, "running", notes.Running, "waiting", notes.Waiting)...)
 	return unrun, nil, classifier.New(classifier.EndpointRefused, "endpoint %s refused with status %d", choice.ID, reply.Status).After(notReadyPause)
 }
 
@@ -260,7 +259,7 @@
 			c.ran(choice, false, 0, 0)
 		}
 		choice.End(blame, 0)
-		c.log(hclog.Info, "answer is spoilt", c.about(choice, "error", err, "status", reply.Status)...)
+		c.log("answer is spoilt", c.about(choice, "error", err, "status", reply.Status)...)
 		return failed, nil, classifier.Wrap(classifier.EndpointFailed, err, "the answer of endpoint %s is spoilt", choice.ID)
 	}
 	got := &answer{status: reply.Status, header: c.Codec.Reply(reply.Header), body: body}
@@ -268,13 +267,13 @@
 	c.ran(choice, good, took, 0)
 	if !good {
 		choice.End(tracker.Bad, 0)
-		c.log(hclog.Info, "endpoint failed", c.about(choice, "status", reply.Status)...)
+		c.log("endpoint failed", c.about(choice, "status", reply.Status)...)
 		return failed, got, classifier.New(classifier.EndpointFailed, "endpoint %s failed with status %d", choice.ID, reply.Status)
 	}
 	choice.End(tracker.Good, 0)
 	reply.Close()
 	c.pass(got)
-	c.log(hclog.Info, "request served", c.about(choice, "status", reply.Status, "took", noter.Brief(took))...)
+	c.log("request served", c.about(choice, "status", reply.Status, "took", noter.Brief(took))...)
 	return done, nil, nil
 }
 
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -333,7 +333,7 @@
 		problem = classifier.Wrap(classifier.Timeout, problem, "the deadline passed")
 	}
 	if c.begun {
-		c.log(hclog.Info, "stream cut", "error", problem.Error(), "after", c.after, "kind", problem.Kind)
+		c.log("stream cut", "error", problem.Error(), "after", c.after, "kind", problem.Kind)
 		c.Counters.count("cut", problem.Kind)
 		// The connection is closed, so that the answer does not look complete.
 		panic(http.ErrAbortHandler)
--- a/internal/forwarder/reject.go
+++ b/internal/forwarder/reject.go
@@ -6,8 +6,6 @@
 	"strconv"
 	"time"
 
-	"github.com/hashicorp/go-hclog"
-
 	"quetzalgrade.example/quetzalgrade/internal/classifier"
 	"quetzalgrade.example/quetzalgrade/internal/noter"
 )
@@ -19,7 +17,7 @@
 		problem = classifier.Wrap(classifier.EndpointFailed, problem, "an endpoint may have run the request")
 	}
 	c.Counters.count("rejected", problem.Kind)
-	c.log(hclog.Info, "request rejected", "kind", problem.Kind, "error", problem.Error(), "status", problem.Answer().Status,
+	c.log("request rejected", "kind", problem.Kind, "error", problem.Error(), "status", problem.Answer().Status,
 		"runs", c.runs, "sends", len(c.tried))
 	if problem.Kind == classifier.CallerGone {
 		panic(http.ErrAbortHandler)
@@ -51,8 +49,8 @@
 }
 
 // log writes one line about the request.
-func (c *call) log(level hclog.Level, message string, args ...any) {
-	if level < c.Logger.GetLevel() {
+func (c *call) log(message string, args ...any) {
+	if !c.Logger.IsInfo() {
 		return
 	}
 	fields := []any{"request", c.ID, "session", c.Session, "age", noter.Brief(time.Since(c.arrived)), "view_age", noter.Brief(c.view.Age)}
@@ -65,5 +63,5 @@
 	if c.account != nil {
 		fields = append(fields, "account", c.account.Name)
 	}
-	c.Logger.Log(level, message, append(fields, args...)...)
+	c.Logger.Info(message, append(fields, args...)...)
 }
--- a/internal/forwarder/size.go
+++ b/internal/forwarder/size.go
@@ -3,8 +3,6 @@
 import (
 	"time"
 
-	"github.com/hashicorp/go-hclog"
-
 	"quetzalgrade.example/quetzalgrade/internal/sizer"
 	"quetzalgrade.example/quetzalgrade/internal/tracker"
 )
@@ -50,7 +48,7 @@
 	if !c.Budgets.Of(c.route.Service).SpendAbove(repeatReserve) {
 		return false
 	}
-	c.log(hclog.Info, "answer dropped for a larger model", c.about(choice, "confidence", notes.Confidence, "next", c.route.Sizes[size])...)
+	c.log("answer dropped for a larger model", c.about(choice, "confidence", notes.Confidence, "next", c.route.Sizes[size])...)
 	choice.End(tracker.Good, 0)
 	c.ran(choice, true, c.headed, 0)
 	c.paid = true
--- a/internal/forwarder/stream.go
+++ b/internal/forwarder/stream.go
@@ -9,7 +9,6 @@
 	"time"
 
 	"github.com/go-faster/errors"
-	"github.com/hashicorp/go-hclog"
 
 	"quetzalgrade.example/quetzalgrade/internal/classifier"
 	"quetzalgrade.example/quetzalgrade/internal/exchanger"
@@ -88,7 +87,7 @@
 		c.ran(choice, true, c.headed, pace)
 		c.Counters.Served.Inc()
 		c.Counters.Whole.UpdateDuration(c.arrived)
-		c.log(hclog.Info, "stream served", c.about(choice, "first", noter.Brief(c.headed), "events", cut.count, "confidence", notes.Confidence)...)
+		c.log("stream served", c.about(choice, "first", noter.Brief(c.headed), "events", cut.count, "confidence", notes.Confidence)...)
 		return done, nil, nil
 	}
 	return c.broken(ctx, choice, err, cut)
@@ -121,7 +120,7 @@
 		c.ran(choice, false, 0, 0)
 	}
 	choice.End(blame, 0)
-	c.log(hclog.Info, "stream broken", c.about(choice, "error", err, "events", cut.count, "after", c.after)...)
+	c.log("stream broken", c.about(choice, "error", err, "events", cut.count, "after", c.after)...)
 	c.Counters.Resumes.Inc()
 	return failed, nil, classifier.Wrap(classifier.EndpointFailed, err, "the stream of endpoint %s broke", choice.ID)
 }
--- a/internal/runner/follow.go
+++ b/internal/runner/follow.go
@@ -72,4 +72,5 @@
 	if change.Whole {
 		r.tracker.Retain(seen, outage)
 	}
+	r.rollouts.registered()
 }
--- a/internal/runner/rollouts.go
+++ b/internal/runner/rollouts.go
@@ -49,7 +49,7 @@
 	doubts  *promoter.Doubts
 	// reported is the number of bad results that the newest report told of.
 	reported int
-	// intervals counts the intervals up to the newest report.
+	// intervals counts the intervals of reports so far.
 	intervals int64
 	// reports are the doubts of the other daemons by their key.
 	reports map[string]map[string]float64
@@ -75,23 +75,26 @@
 
 	mu       sync.Mutex
 	services map[string]*rollout
-	statuses map[string]promoter.Status
-	sessions *promoter.Sessions
-	usual    map[usualKey]usual
+	// usualVersions are the versions of the services without an order.
+	usualVersions map[string]string
+	statuses      map[string]promoter.Status
+	sessions      *promoter.Sessions
+	usual         map[usualKey]usual
 }
 
 func newRollouts(r *Runner) *rollouts {
 	o := &rollouts{
-		Runner:   r,
-		key:      r.settings.Load().Name + "/" + strconv.FormatInt(int64(r.process.Clock()), 36),
-		active:   make(chan struct{}, 1),
-		services: map[string]*rollout{},
-		statuses: map[string]promoter.Status{},
-		sessions: promoter.NewSessions(r.settings.Load().Session),
-		usual:    map[usualKey]usual{},
-	}
-	o.status = subscriber.New("status", r.process.Status, subscriber.Times{Wait: progressWait}, r.process.Clock, o.takeStatus, r.logger)
-	o.results = subscriber.New("results", r.process.Results, subscriber.Times{Wait: progressWait, Pace: resultsPace}, r.process.Clock, o.takeResults, r.logger)
+		Runner:        r,
+		key:           r.settings.Load().Name + "/" + strconv.FormatInt(int64(r.process.Clock()), 36),
+		active:        make(chan struct{}, 1),
+		services:      map[string]*rollout{},
+		usualVersions: map[string]string{},
+		statuses:      map[string]promoter.Status{},
+		sessions:      promoter.NewSessions(r.settings.Load().Session),
+		usual:         map[usualKey]usual{},
+	}
+	o.status = subscriber.New("status", r.process.Status, subscriber.Times{Wait: progressWait, Confirm: confirmTime}, r.process.Clock, o.takeStatus, r.logger)
+	o.results = subscriber.New("results", r.process.Results, subscriber.Times{Wait: progressWait, Pace: resultsPace, Confirm: confirmTime}, r.process.Clock, o.takeResults, r.logger)
 	return o
 }
 
@@ -304,12 +307,13 @@
 	}
 	doubts := known.doubts.Endpoints()
 	interval := int64((now - known.entered) / reportInterval)
-	grown := known.doubts.Bad() != known.reported && interval != known.intervals
+	due := interval != known.intervals
+	known.intervals = interval
+	grown := due && known.doubts.Bad() != known.reported
 	if !grown && (!list || len(known.sessions) == 0) {
 		return nil
 	}
 	known.reported = known.doubts.Bad()
-	known.intervals = interval
 	report := &schema.RolloutReport{
 		Service:  known.order.Service,
 		Order:    known.order.Offset,
@@ -407,7 +411,7 @@
 	if known == nil {
 		// A roll-out may begin before the session's next request.
 		o.sessions.Began(question.Session, oldVersion, now)
-		return forwarder.Constraint{}
+		return forwarder.Constraint{Only: o.usualVersions[question.Service]}
 	}
 	target := known.order.Target
 	if !o.choose(known, question, now) {
@@ -421,6 +425,29 @@
 	return forwarder.Constraint{Only: target}
 }
 
+// registered notes the version of each service that is in use without an order:
+// endpoints of a new version may be seen before its order is.
+func (o *rollouts) registered() {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for service, versions := range o.tracker.AllVersions() {
+		if usual := o.usualVersions[service]; versions[usual] == 0 {
+			o.usualVersions[service] = mostOf(versions)
+		}
+	}
+}
+
+// mostOf returns the version with the most endpoints.
+func mostOf(versions map[string]int) string {
+	best := ""
+	for version, count := range versions {
+		if count > versions[best] || count == versions[best] && version < best {
+			best = version
+		}
+	}
+	return best
+}
+
 // subsetOfShare times the share of the sessions in a trial is the share of the
 // new endpoints that serve them: they are then under half of their usual load.
 const subsetOfShare = 2
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -89,6 +89,8 @@
 	// get no more work.
 	endpointsWait = 10 * time.Second
 	endpointsPace = 800 * time.Millisecond
+	// confirmTime is the time after which a long read is backed by a short one.
+	confirmTime = 60 * time.Millisecond
 	// sweepInterval is how often idle connections are looked at.
 	sweepInterval = time.Second
 )
@@ -151,7 +153,7 @@
 		Counters:  forwarder.NewCounters(r.metrics),
 	})
 	r.declared = subscriber.New("operator", process.Operator, subscriber.Times{Wait: operatorWait}, process.Clock, r.takeDeclared, r.logger)
-	r.registered = subscriber.New("endpoints", process.Endpoints, subscriber.Times{Wait: endpointsWait, Pace: endpointsPace}, process.Clock, r.takeRegistered, r.logger)
+	r.registered = subscriber.New("endpoints", process.Endpoints, subscriber.Times{Wait: endpointsWait, Pace: endpointsPace, Confirm: confirmTime}, process.Clock, r.takeRegistered, r.logger)
 	return r, r.listen()
 }
 
--- a/internal/subscriber/subscriber.go
+++ b/internal/subscriber/subscriber.go
@@ -74,8 +74,7 @@
 type Subscriber struct {
 	name   string
 	source Source
-	wait   time.Duration
-	pace   time.Duration
+	times  Times
 	clock  Clock
 	handle func(Change)
 	logger hclog.Logger
@@ -102,12 +101,16 @@
 	// Pace is the pause after records have come. Many writers' records then share
 	// a read: without it each record would cost one read of every subscriber.
 	Pace time.Duration
+	// Confirm, when set, is the time after which a read that waits is backed by one
+	// that does not: a read that reaches the log as a record is appended may sleep
+	// through it until its wait is over.
+	Confirm time.Duration
 }
 
 // New returns a subscriber. The handler is called from Run, one change at a
 // time.
 func New(name string, source Source, times Times, clock Clock, handle func(Change), logger hclog.Logger) *Subscriber {
-	return &Subscriber{name: name, source: source, wait: times.Wait, pace: times.Pace, clock: clock, handle: handle, logger: logger}
+	return &Subscriber{name: name, source: source, times: times, clock: clock, handle: handle, logger: logger}
 }
 
 // Run follows the topic until ctx ends.
@@ -121,8 +124,8 @@
 		s.note(err)
 		if err == nil {
 			backoff = minBackoff
-			if came && s.pace > 0 {
-				sleep(ctx, s.pace)
+			if came && s.times.Pace > 0 {
+				sleep(ctx, s.times.Pace)
 			}
 			continue
 		}
@@ -147,15 +150,13 @@
 		return true, s.readAll(ctx)
 	}
 	asked := s.clock()
-	wait := s.wait
+	wait := s.times.Wait
 	if s.failed() {
 		// A source that comes back is asked for what it has, so that the proof is
 		// fresh at once.
 		wait = 0
 	}
-	bounded, cancel := context.WithTimeout(ctx, wait+answerSlack)
-	defer cancel()
-	page, err := s.source.Read(bounded, s.next, wait)
+	page, waited, err := s.read(ctx, wait)
 	if errors.Is(err, ErrExpired) {
 		s.logger.Info("records expired unread; reading all keys", "topic", s.name, "offset", s.next)
 		s.known = false
@@ -167,7 +168,7 @@
 	s.advance(page.Next)
 	if len(page.Items) > 0 {
 		s.handle(Change{Items: page.Items})
-	} else if s.clock()-asked >= wait {
+	} else if waited && s.clock()-asked >= wait {
 		// An empty page says that nothing came during the whole wait.
 		asked += wait
 	}
@@ -175,6 +176,37 @@
 	return len(page.Items) > 0, nil
 }
 
+// read makes one read, backed by one that does not wait; waited is false for the
+// answer of that one.
+func (s *Subscriber) read(ctx context.Context, wait time.Duration) (page Page, waited bool, err error) {
+	ctx, cancel := context.WithTimeout(ctx, wait+answerSlack)
+	defer cancel()
+	if s.times.Confirm <= 0 || wait <= s.times.Confirm {
+		page, err = s.source.Read(ctx, s.next, wait)
+		return page, true, err
+	}
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		page, err = s.source.Read(ctx, s.next, wait)
+	}()
+	timer := time.NewTimer(s.times.Confirm)
+	defer timer.Stop()
+	select {
+	case <-done:
+		return page, true, err
+	case <-timer.C:
+	}
+	confirmed, confirmErr := s.source.Read(ctx, s.next, 0)
+	if confirmErr == nil && len(confirmed.Items) > 0 {
+		cancel()
+		<-done
+		return confirmed, false, nil
+	}
+	<-done
+	return page, true, err
+}
+
 // advance sets the offset to read from.
 func (s *Subscriber) advance(next int64) {
 	s.mu.Lock()
--- a/internal/tracker/tracker.go
+++ b/internal/tracker/tracker.go
@@ -511,21 +511,28 @@
 	}
 }
 
-// Versions returns the versions of a service's usable endpoints with their
-// number.
-func (t *Tracker) Versions(service string) map[string]int {
+// AllVersions returns for each service the versions of its usable endpoints with
+// their number.
+func (t *Tracker) AllVersions() map[string]map[string]int {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.now()
-	versions := map[string]int{}
+	services := map[string]map[string]int{}
 	for _, known := range t.endpoints {
-		if known.Service == service && t.usable(known, now) {
-			versions[known.Version]++
+		if !t.usable(known, now) {
+			continue
 		}
+		if services[known.Service] == nil {
+			services[known.Service] = map[string]int{}
+		}
+		services[known.Service][known.Version]++
 	}
-	return versions
+	return services
 }
 
+// Versions returns the versions of one service's usable endpoints.
+func (t *Tracker) Versions(service string) map[string]int { return t.AllVersions()[service] }
+
 // Counts returns the number of endpoints and of ejections so far.
 func (t *Tracker) Counts() (endpoints int, ejections uint64) {
 	t.mu.Lock()
