--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -195,7 +195,7 @@
 	group, groupCtx := errgroup.WithContext(work)
 	r.start(groupCtx, group)
 	settings := r.settings.Load()
-	r.logger.Info("daemon started", "name", settings.Name, "zone", settings.Zone, "callers", settings.Callers, "store", settings.Store)
+	r.logger.Info("daemon started", "name", settings.Name, "zone", settings.Zone, "callers", settings.Callers, "metrics", settings.Metrics, "store", settings.Store)
 	select {
 	case <-ctx.Done():
 		r.stop(work)
