--- /dev/null
+++ b/internal/runner/versions.go
@@ -0,0 +1,129 @@
+package runner
+
+import (
+	"time"
+
+	"quetzalgrade.example/quetzalgrade/internal/forwarder"
+	"quetzalgrade.example/quetzalgrade/internal/promoter"
+	"quetzalgrade.example/quetzalgrade/internal/subscriber"
+)
+
+// stale reports whether what is known of roll-outs may lack news.
+func (o *rollouts) stale(topic *subscriber.Subscriber) bool {
+	return topic.Failing() || o.age(topic) > progressAge
+}
+
+// version returns the version that a request must run on.
+func (o *rollouts) version(question forwarder.Question) forwarder.Constraint {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	now := time.Now()
+	known := o.services[question.Service]
+	if known == nil {
+		// A roll-out may begin before the session's next request.
+		o.sessions.Began(question.Session, oldVersion, now)
+		return forwarder.Constraint{Only: o.usualVersions[question.Service]}
+	}
+	target := known.order.Target
+	if !o.choose(known, question, now) {
+		o.sessions.Began(question.Session, oldVersion, now)
+		return forwarder.Constraint{Except: target}
+	}
+	o.sessions.Began(question.Session, target, now)
+	if known.state == promoter.Trial {
+		return forwarder.Constraint{Only: target, Subset: subsetOfShare * promoter.ShareNow(known.status.Share, o.movable(known))}
+	}
+	return forwarder.Constraint{Only: target}
+}
+
+// registered notes the version of each service that is in use without an order:
+// endpoints of a new version may be seen before its order is.
+func (o *rollouts) registered() {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for service, versions := range o.tracker.AllVersions() {
+		if usual := o.usualVersions[service]; versions[usual] == 0 {
+			o.usualVersions[service] = mostOf(versions)
+		}
+	}
+}
+
+// mostOf returns the version with the most endpoints.
+func mostOf(versions map[string]int) string {
+	best := ""
+	for version, count := range versions {
+		if count > versions[best] || count == versions[best] && version < best {
+			best = version
+		}
+	}
+	return best
+}
+
+// subsetOfShare times the share of the sessions in a trial is the share of the
+// new endpoints that serve them: they are then under half of their usual load.
+const subsetOfShare = 2
+
+// movable reports whether sessions may move to the new version.
+func (o *rollouts) movable(known *rollout) bool {
+	return promoter.Movable(known.order, known.state, o.process.Clock()-known.began)
+}
+
+// entered records that a session's request has come.
+func (o *rollouts) entered(session string) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.sessions.Entered(session, time.Now())
+}
+
+// left records that a session's request has ended.
+func (o *rollouts) left(session string) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.sessions.Left(session, time.Now())
+}
+
+// sweep forgets sessions that have ended.
+func (o *rollouts) sweep() {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.sessions.Sweep(time.Now())
+}
+
+// oldVersion stands for any version but the target.
+const oldVersion = "old"
+
+// choose reports whether the request goes to the new version.
+func (o *rollouts) choose(known *rollout, question forwarder.Question, now time.Time) bool {
+	switch {
+	case known.state == promoter.Completed:
+		return true
+	case known.adverse || known.state == promoter.RolledBack || known.state == promoter.Waiting:
+		return false
+	case known.state == promoter.Full:
+		return true
+	case question.Failed:
+		return false
+	}
+	clock := o.process.Clock()
+	movable := o.movable(known)
+	switch o.sessions.Version(question.Session, now) {
+	case known.order.Target:
+		return true
+	case oldVersion:
+		if !movable {
+			return false
+		}
+	}
+	if !promoter.Open(known.state, clock-known.entered) || o.stale(o.status) || o.stale(o.results) {
+		return false
+	}
+	session := question.Session
+	if session == "" {
+		session = question.Request
+	}
+	if !movable && known.held[promoter.Digest(session)] {
+		// Another daemon has served it on the old version.
+		return false
+	}
+	return promoter.Chosen(session, known.order, promoter.ShareNow(known.status.Share, movable))
+}
