--- /dev/null
+++ b/internal/runner/settings_test.go
@@ -0,0 +1,72 @@
+package runner_test
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"quetzalgrade.example/quetzalgrade/internal/runner"
+)
+
+const sound = `name = "entry-1"
+zone = "ouse"
+
+[listen]
+callers = "127.0.0.1:8227"
+ready = "127.0.0.1:8220"
+metrics = "127.0.0.1:9464"
+
+[store]
+address = "127.0.0.1:8223"
+writes = 400
+reads = 2000.0
+
+[bounds]
+revoke = "5000ms"
+leave = "2000ms"
+grace = "8s"
+repeats = 0.9
+window = "10s"
+extra = 52
+expose = 0.15
+slack = 30
+session = "6.7s"
+`
+
+func TestLoad(t *testing.T) {
+	rows := map[string]struct {
+		old, new string
+		// want are parts of the error; none when the settings are sound.
+		want []string
+	}{
+		"sound":               {"", "", nil},
+		"a missing name":      {`name = "entry-1"`, "", []string{"name", "is missing"}},
+		"a bad address":       {`"127.0.0.1:8220"`, `"ready"`, []string{":6:", "listen.ready", "is not an address"}},
+		"a misspelt key":      {"revoke =", "revok =", []string{":15:", "revok", "revoke"}},
+		"a time of no length": {`"8s"`, `"0s"`, []string{":17:", "bounds.grace"}},
+		"a strange level":     {`zone = "ouse"`, "zone = \"ouse\"\nlog = \"inof\"", []string{":3:", "log", "info"}},
+		"a share that is not": {"expose = 0.15", "expose = -1.0", []string{":21:", "bounds.expose"}},
+		"not TOML":            {"[bounds]", "[bounds", []string{":14:"}},
+	}
+	for name, row := range rows {
+		t.Run(name, func(t *testing.T) {
+			file := filepath.Join(t.TempDir(), "settings.toml")
+			if err := os.WriteFile(file, []byte(strings.Replace(sound, row.old, row.new, 1)), 0o600); err != nil {
+				t.Fatal(err)
+			}
+			settings, err := runner.Load(file)
+			if len(row.want) == 0 {
+				if err != nil || settings.Session.String() != "6.7s" {
+					t.Errorf("Load() got %v, session %v, want sound settings", err, settings.Session)
+				}
+				return
+			}
+			for _, part := range row.want {
+				if err == nil || !strings.Contains(err.Error(), part) {
+					t.Errorf("Load() got error %v, want one with %q", err, part)
+				}
+			}
+		})
+	}
+}
