Pace reads by the operators' bounds; a larger budget above the reserve

Change: budget of 16; pauses are half of the time in which a leaving endpoint must get no more work.

--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -83,11 +83,13 @@
 	// proof of reading stays well under the time that a key may outlive its
 	// withdrawal.
 	operatorWait = 1700 * time.Millisecond
-	// endpointsWait is how long a read waits for a registration, endpointsPace the
-	// pause after one; it is well under the time in which a leaving endpoint must
-	// get no more work.
+	// operatorPace is the pause after a declaration.
+	operatorPace = 200 * time.Millisecond
+	// endpointsWait is how long a read waits for a registration, paceOfLeave the
+	// pause after one as a share of the time in which a leaving endpoint must get no
+	// more work.
 	endpointsWait = 10 * time.Second
-	endpointsPace = 800 * time.Millisecond
+	paceOfLeave   = 0.5
 	// confirmTime is the time after which a long read is backed by a short one.
 	confirmTime = 60 * time.Millisecond
 	// sweepInterval is how often idle connections are looked at.
@@ -145,8 +147,13 @@
 		Logger:    r.logger,
 		Counters:  forwarder.NewCounters(r.metrics),
 	})
-	r.declared = subscriber.New("operator", process.Operator, subscriber.Times{Wait: operatorWait}, process.Clock, r.takeDeclared, r.logger)
-	r.registered = subscriber.New("endpoints", process.Endpoints, subscriber.Times{Wait: endpointsWait, Pace: endpointsPace, Confirm: confirmTime}, process.Clock, r.takeRegistered, r.logger)
+	r.declared = subscriber.New("operator", process.Operator, subscriber.Times{Wait: operatorWait, Pace: operatorPace}, process.Clock, r.takeDeclared, r.logger)
+	registered := subscriber.Times{
+		Wait:    endpointsWait,
+		Pace:    time.Duration(paceOfLeave * float64(settings.Leave)),
+		Confirm: confirmTime,
+	}
+	r.registered = subscriber.New("endpoints", process.Endpoints, registered, process.Clock, r.takeRegistered, r.logger)
 	return r, r.listen()
 }
 
@@ -155,7 +162,7 @@
 	// those of clients count too.
 	repeatShare = 0.85
 	// repeatBurst bounds the repeats that a daemon saves up for one service.
-	repeatBurst = 10
+	repeatBurst = 16
 )
 
 // owns reports whether an answer belongs to the request. Only a refusal may
--- a/internal/runner/settings.go
+++ b/internal/runner/settings.go
@@ -24,6 +24,8 @@
 	Level hclog.Level
 	// Revoke is the time after which a request with a withdrawn key must not run.
 	Revoke time.Duration
+	// Leave is the time after which a leaving endpoint must get no request.
+	Leave time.Duration
 	// Grace is the time between a planned stop and the kill that follows it.
 	Grace time.Duration
 	// Repeats is the number of repeats allowed for each request in a window.
@@ -102,6 +104,7 @@
 		Store:   r.address("store.address", settings.GetStore().GetAddress()),
 		Level:   r.level("log", settings.GetLog()),
 		Revoke:  r.duration("bounds.revoke", bounds.GetRevoke()),
+		Leave:   r.duration("bounds.leave", bounds.GetLeave()),
 		Grace:   r.duration("bounds.grace", bounds.GetGrace()),
 		Repeats: r.share("bounds.repeats", bounds.GetRepeats()),
 		Window:  r.duration("bounds.window", bounds.GetWindow()),
--- a/internal/subscriber/subscriber.go
+++ b/internal/subscriber/subscriber.go
@@ -67,7 +67,7 @@
 	newestTimeout = 1500 * time.Millisecond
 	// minBackoff and maxBackoff bound the pause after a failed read.
 	minBackoff = 50 * time.Millisecond
-	maxBackoff = 400 * time.Millisecond
+	maxBackoff = 600 * time.Millisecond
 )
 
 // Subscriber follows one topic.
