--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -21,7 +21,7 @@
 	maxAnswer = 8 << 20
 	// maxSends bounds how often one request is offered, refusals included.
 	maxSends = 10
-	// firstBytes and moreBytes are the buffer sizes of answers.
+	// pieceBytes is the size of the buffer that a stream is read into.
 	pieceBytes = 4 << 10
 )
 
