Test that a stop holds while the log is down

Change: a roll-out whose evidence comes while the log is down; only the stop that daemons tell each other keeps people off the version. Conclusion: the promise has a test of its own.

--- a/internal/demonstrator/operate_test.go
+++ b/internal/demonstrator/operate_test.go
@@ -286,6 +286,32 @@
 	}
 }
 
+// TestAStopHoldsWhileTheLogIsDown has the evidence against a version come when no
+// change of the configuration can be written.
+func TestAStopHoldsWhileTheLogIsDown(t *testing.T) {
+	simulate(t, "derwent", wrenOnly, func(t *testing.T, s *demonstrator.Simulation) {
+		s.Rating.Set(newVersion, 0.2)
+		s.Platform.Rater.SetDown(true)
+		startRollout(t, s, 2000, true)
+		if got := people(t, s, 200); got == 0 {
+			t.Error("exposed people got 0, want some before the stop")
+		}
+		s.Platform.Log.SetFaults(faker.LogFaults{Down: true})
+		s.Platform.Rater.SetDown(false)
+		if got := people(t, s, 1500); got == 0 {
+			t.Error("exposed people got 0, want some while the log is down")
+		}
+		// The stop spreads from daemon to daemon.
+		time.Sleep(forceBound)
+		if got := people(t, s, 300); got != 0 {
+			t.Errorf("exposed people got %d, want 0 after the stop", got)
+		}
+		if got := rolloutPhase(t, s); got != schema.Phase_PHASE_RUNNING {
+			t.Errorf("phase got %s, want it unchanged while the log is down", got)
+		}
+	})
+}
+
 func TestOrdersReachEnginesOnce(t *testing.T) {
 	simulate(t, "derwent", nil, func(t *testing.T, s *demonstrator.Simulation) {
 		time.Sleep(30 * time.Second)
