Let the daemons of a zone share their reads of the log

Change: one daemon a zone reads; the others ask it (connect, internal port) and take its records with the age of its proof. Who reads stands in the log under the zone; any failure, an old proof or large records lead back to the log. Nothing depends on there being one reader. Ruled out: a longer wait for each daemon's own reads: a read that sleeps through a record would be late for the bound in which a declaration must be in force.

--- a/internal/commander/entry.go
+++ b/internal/commander/entry.go
@@ -64,6 +64,7 @@
 		Endpoints:  log.Endpoints(),
 		Status:     log.Status(),
 		Results:    log.Results(),
+		Readers:    log.Readers(),
 		Clock:      runner.SinceBoot,
 		Logs:       logs,
 		Reload:     reload,
--- a/internal/runner/listen.go
+++ b/internal/runner/listen.go
@@ -18,6 +18,8 @@
 	callers net.Listener
 	ready   net.Listener
 	metrics net.Listener
+	// relay is nil for a daemon that reads alone.
+	relay net.Listener
 }
 
 func (r *Runner) listen() error {
@@ -31,6 +33,11 @@
 	if r.listeners.metrics, err = r.process.Network.Listen(r.settings.Load().Metrics); err != nil {
 		return errors.Wrap(err, "listen for metrics")
 	}
+	if relay := r.settings.Load().Relay; relay.IsValid() {
+		if r.listeners.relay, err = r.process.Network.Listen(relay); err != nil {
+			return errors.Wrap(err, "listen for other daemons")
+		}
+	}
 	return nil
 }
 
@@ -77,6 +84,7 @@
 	gauge("operator_proof_age_seconds", func() float64 { return r.View().Age.Seconds() })
 	gauge("operator_reads", func() float64 { return float64(r.declared.Calls()) })
 	gauge("endpoint_reads", func() float64 { return float64(r.registered.Calls()) })
+	gauge("relayed_reads", func() float64 { return float64(r.relayer.Relayed()) })
 	gauge("endpoints", func() float64 { endpoints, _ := r.tracker.Counts(); return float64(endpoints) })
 	gauge("ejections", func() float64 { _, ejections := r.tracker.Counts(); return float64(ejections) })
 	gauge("connections_opened", func() float64 { opened, _ := r.exchanger.Counts(); return float64(opened) })
--- a/internal/runner/reload.go
+++ b/internal/runner/reload.go
@@ -43,7 +43,7 @@
 		return nil
 	}
 	if fresh.Callers != current.Callers || fresh.Ready != current.Ready || fresh.Metrics != current.Metrics ||
-		fresh.Store != current.Store || fresh.Zone != current.Zone || fresh.Name != current.Name {
+		fresh.Relay != current.Relay || fresh.Store != current.Store || fresh.Zone != current.Zone || fresh.Name != current.Name {
 		return errors.New("name, zone and addresses change only with a restart")
 	}
 	r.settings.Store(&fresh)
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -25,6 +25,7 @@
 	"quetzalgrade.example/quetzalgrade/internal/matcher"
 	"quetzalgrade.example/quetzalgrade/internal/noter"
 	"quetzalgrade.example/quetzalgrade/internal/promoter"
+	"quetzalgrade.example/quetzalgrade/internal/relayer"
 	"quetzalgrade.example/quetzalgrade/internal/subscriber"
 	"quetzalgrade.example/quetzalgrade/internal/tracker"
 )
@@ -71,6 +72,8 @@
 	// new versions.
 	Status  Board
 	Results Board
+	// Readers holds which daemon of a zone reads for the others.
+	Readers Board
 	Clock   subscriber.Clock
 	Logs    io.Writer
 	// Reload yields when the settings may have changed; Load reads them.
@@ -108,6 +111,7 @@
 	declared    *subscriber.Subscriber
 	registered  *subscriber.Subscriber
 	rollouts    *rollouts
+	relayer     *relayer.Relayer
 	tracker     *tracker.Tracker
 	exchanger   *exchanger.Exchanger
 	forwarder   *forwarder.Forwarder
@@ -154,9 +158,26 @@
 		Confirm: confirmTime,
 	}
 	r.registered = subscriber.New("endpoints", process.Endpoints, registered, process.Clock, r.takeRegistered, r.logger)
+	r.share()
 	return r, r.listen()
 }
 
+// share lets the daemons of the zone read for each other.
+func (r *Runner) share() {
+	settings := r.settings.Load()
+	r.relayer = relayer.New(relayer.Options{
+		Zone:   settings.Zone,
+		Self:   relayer.Record{Name: settings.Name, Address: settings.Relay},
+		Board:  r.process.Readers,
+		Client: &http.Client{Transport: connector.Transport(r.process.Network)},
+		Clock:  r.process.Clock,
+		Logger: r.logger,
+	})
+	if settings.Relay.IsValid() {
+		r.relayer.Share(r.declared, r.registered, r.rollouts.status, r.rollouts.results)
+	}
+}
+
 const (
 	// repeatShare is the share of the allowed repeats that a daemon uses, since
 	// those of clients count too.
@@ -214,15 +235,25 @@
 	run(r.rollouts.run)
 	run(r.sweep)
 	run(r.reload)
+	if r.listeners.relay != nil {
+		run(r.relayer.Run)
+	}
 	r.callers = r.server(r.forwarder)
 	r.serve(group, r.callers, r.listeners.callers)
+	path, relay := r.relayer.Handler()
+	relays := http.NewServeMux()
+	relays.Handle(path, relay)
 	for _, serving := range []struct {
 		listener net.Listener
 		handler  http.Handler
 	}{
 		{r.listeners.ready, http.HandlerFunc(r.answerReady)},
 		{r.listeners.metrics, http.HandlerFunc(r.answerMetrics)},
+		{r.listeners.relay, relays},
 	} {
+		if serving.listener == nil {
+			continue
+		}
 		other := r.server(serving.handler)
 		r.others = append(r.others, other)
 		r.serve(group, other, serving.listener)
--- a/internal/runner/settings.go
+++ b/internal/runner/settings.go
@@ -19,6 +19,9 @@
 	Callers netip.AddrPort
 	Ready   netip.AddrPort
 	Metrics netip.AddrPort
+	// Relay is where other daemons of the zone ask for what this one has read;
+	// invalid to read alone.
+	Relay netip.AddrPort
 	// Store is the address of the log.
 	Store netip.AddrPort
 	Level hclog.Level
@@ -65,6 +68,14 @@
 	return address
 }
 
+// optional reads an address that may be missing.
+func (r *settingsReader) optional(path, value string) netip.AddrPort {
+	if value == "" {
+		return netip.AddrPort{}
+	}
+	return r.address(path, value)
+}
+
 func (r *settingsReader) duration(path string, value *durationpb.Duration) time.Duration {
 	if value.AsDuration() <= 0 {
 		r.fault(path, "is not a positive time", `write it as "2s"`)
@@ -101,6 +112,7 @@
 		Callers: r.address("listen.callers", listen.GetCallers()),
 		Ready:   r.address("listen.ready", listen.GetReady()),
 		Metrics: r.address("listen.metrics", listen.GetMetrics()),
+		Relay:   r.optional("listen.relay", listen.GetRelay()),
 		Store:   r.address("store.address", settings.GetStore().GetAddress()),
 		Level:   r.level("log", settings.GetLog()),
 		Revoke:  r.duration("bounds.revoke", bounds.GetRevoke()),
--- a/internal/runner/stop.go
+++ b/internal/runner/stop.go
@@ -19,6 +19,7 @@
 func (r *Runner) stop(ctx context.Context) {
 	r.logger.Info("stop began", "grace", r.settings.Load().Grace)
 	r.stopping.Store(true)
+	r.relayer.Leave()
 	ctx, cancel := context.WithTimeout(ctx, r.settings.Load().Grace-stopMargin)
 	defer cancel()
 	select {
--- a/internal/subscriber/subscriber.go
+++ b/internal/subscriber/subscriber.go
@@ -47,6 +47,17 @@
 	Read(ctx context.Context, from int64, wait time.Duration) (Page, error)
 }
 
+// Peer is another daemon that has read the topic.
+type Peer interface {
+	// Read returns the records from an offset on, and by how much older than the
+	// moment of the call the proof is that nothing is missing; negative when it is
+	// newer. The page always reaches the end that the peer knows.
+	Read(ctx context.Context, topic string, from int64) (page Page, lag time.Duration, err error)
+}
+
+// ErrNoPeer is returned by a peer that has nothing to tell now.
+var ErrNoPeer = errors.New("no other daemon tells what it has read")
+
 // Change is what a subscriber hands on.
 type Change struct {
 	// Whole is set when the items are all records of the topic: keys that are
@@ -78,6 +89,9 @@
 	clock  Clock
 	handle func(Change)
 	logger hclog.Logger
+	// peer is asked before the source; nil for none.
+	peer   Peer
+	window *window
 
 	// known is set when next is; it is used by Run alone.
 	known bool
@@ -110,11 +124,26 @@
 // New returns a subscriber. The handler is called from Run, one change at a
 // time.
 func New(name string, source Source, times Times, clock Clock, handle func(Change), logger hclog.Logger) *Subscriber {
-	return &Subscriber{name: name, source: source, times: times, clock: clock, handle: handle, logger: logger}
+	return &Subscriber{name: name, source: source, times: times, clock: clock, handle: handle, logger: logger, window: newWindow()}
+}
+
+// AskFirst makes the subscriber ask a peer before it reads the log. It must be
+// called before Run.
+func (s *Subscriber) AskFirst(peer Peer) { s.peer = peer }
+
+// Name returns the topic's name.
+func (s *Subscriber) Name() string { return s.name }
+
+// After returns what the subscriber has read from an offset on, and the age of
+// the proof that nothing is missing. It waits for records or a newer proof.
+func (s *Subscriber) After(ctx context.Context, from int64, wait time.Duration) (Page, time.Duration, error) {
+	page, proof, err := s.window.after(ctx, from, wait)
+	return page, s.clock() - proof, err
 }
 
 // Run follows the topic until ctx ends.
 func (s *Subscriber) Run(ctx context.Context) error {
+	defer s.window.forget()
 	backoff := minBackoff
 	for ctx.Err() == nil {
 		came, err := s.step(ctx)
@@ -144,11 +173,15 @@
 	}
 }
 
-// step makes one read; it reports whether records came.
+// step makes one read; it reports whether records came that others may follow at
+// once.
 func (s *Subscriber) step(ctx context.Context) (came bool, err error) {
 	if !s.known {
 		return true, s.readAll(ctx)
 	}
+	if s.askPeer(ctx) {
+		return false, nil
+	}
 	asked := s.clock()
 	wait := s.times.Wait
 	if s.failed() {
@@ -165,17 +198,52 @@
 	if err != nil {
 		return false, err
 	}
-	s.advance(page.Next)
-	if len(page.Items) > 0 {
-		s.handle(Change{Items: page.Items})
-	} else if waited && s.clock()-asked >= wait {
+	if len(page.Items) == 0 && waited && s.clock()-asked >= wait {
 		// An empty page says that nothing came during the whole wait.
 		asked += wait
 	}
-	s.prove(asked, page.Next >= page.End)
+	s.take(page, asked)
 	return len(page.Items) > 0, nil
 }
 
+// askPeer takes a page from the peer; ok is false when the log is to be read.
+func (s *Subscriber) askPeer(ctx context.Context) (ok bool) {
+	if s.peer == nil {
+		return false
+	}
+	asked := s.clock()
+	page, lag, err := s.peer.Read(ctx, s.name, s.Next())
+	if err != nil {
+		if !errors.Is(err, ErrNoPeer) {
+			s.logger.Debug("peer tells nothing", "topic", s.name, "error", err)
+		}
+		return false
+	}
+	if lag > s.times.Wait+answerSlack {
+		s.logger.Warn("what a peer has read is too old", "topic", s.name, "lag", noter.Brief(lag))
+		return false
+	}
+	s.take(page, asked-lag)
+	return true
+}
+
+// take hands on the records of a page. It proves that everything written before
+// the time was read if the page reaches the topic's end.
+func (s *Subscriber) take(page Page, proof time.Duration) {
+	s.advance(page.Next)
+	if len(page.Items) > 0 {
+		s.handle(Change{Items: page.Items})
+	}
+	atEnd := page.Next >= page.End
+	s.prove(proof, atEnd)
+	if atEnd {
+		s.window.extend(page.Items, page.Next, proof)
+	} else {
+		s.window.reset(page.Next, proof)
+		s.window.fail()
+	}
+}
+
 // read makes one read, backed by one that does not wait; waited is false for the
 // answer of that one.
 func (s *Subscriber) read(ctx context.Context, wait time.Duration) (page Page, waited bool, err error) {
@@ -233,6 +301,7 @@
 	s.known = true
 	s.handle(Change{Whole: true, Items: items})
 	s.prove(asked, true)
+	s.window.reset(next, asked)
 	return nil
 }
 
@@ -241,7 +310,8 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if atEnd {
-		s.proof = asked
+		// A peer's proof may be older than one of the daemon's own.
+		s.proof = max(s.proof, asked)
 		s.proven = true
 	}
 }
@@ -274,6 +344,7 @@
 	}
 	s.failing = failing
 	if failing {
+		s.window.fail()
 		s.logger.Warn("log cannot be read", "topic", s.name, "error", err, "proof_age", noter.Brief(s.clock()-s.proof))
 		return
 	}
