Split the engine stand-in, the limiter and the operators' commands

Change: declarations moved as they are; commands that report, commands of roll-outs, upkeep of shares, reservations, generations and orders have files of their own.

--- /dev/null
+++ b/internal/faker/generation.go
@@ -0,0 +1,209 @@
+package faker
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"quetzalgrade.example/quetzalgrade/internal/sender"
+)
+
+// generation is one stream; it goes on for a moment after its reader is cut,
+// so that it can be resumed.
+type generation struct {
+	mu      sync.Mutex
+	events  []string
+	done    bool
+	changed chan struct{}
+	readers int
+	cancel  context.CancelFunc
+}
+
+func (e *Engine) generate(ctx context.Context, request chatRequest, stream *generation, run *Run) {
+	defer func() {
+		stream.finish()
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		e.release()
+	}()
+	prompt := request.prompt()
+	input := len(prompt)/4 + 1
+	cached := e.cache(prompt)
+	if !e.work(ctx, time.Duration(input-cached)*e.speed.Prefill) {
+		return
+	}
+	count, answered := answerLength(prompt, request.MaxTokens), prompt
+	e.mu.Lock()
+	if e.faults.ShortAfter > 0 {
+		count = min(count, e.faults.ShortAfter)
+	}
+	if e.faults.Crossed {
+		answered = "another " + prompt
+	}
+	e.mu.Unlock()
+	for i := range count {
+		if !e.work(ctx, e.speed.Token) {
+			return
+		}
+		stream.add(contentEvent(token(request.Model, answered, i)))
+	}
+	stream.add(usageEvent(sender.Usage{Input: input, Output: count, Cached: cached}))
+	e.mu.Lock()
+	marked := !e.faults.NoMark
+	run.Complete = marked
+	e.mu.Unlock()
+	if marked {
+		stream.add(sender.DoneMark)
+	}
+}
+
+// Answer lengths in tokens that prompts draw.
+const (
+	minTokens    = 8
+	spreadTokens = 60
+)
+
+func answerLength(prompt string, limit int) int {
+	count := minTokens + int(uniform(prompt)*spreadTokens)
+	if limit > 0 {
+		count = min(count, limit)
+	}
+	return count
+}
+
+// token returns one token of the answer to a prompt. It names the version and
+// the prompt, so that a crossed answer shows.
+func token(version, prompt string, number int) string {
+	return fmt.Sprintf("%s:%04x:%d ", version, xxhash.Sum64String(prompt)&0xffff, number)
+}
+
+// Answer returns the whole answer that every engine gives to a prompt.
+func Answer(version, prompt string, limit int) string {
+	var text strings.Builder
+	for i := range answerLength(prompt, limit) {
+		text.WriteString(token(version, prompt, i))
+	}
+	return text.String()
+}
+
+func contentEvent(text string) string {
+	data, _ := json.Marshal(text)
+	return `{"object":"chat.completion.chunk","choices":[{"index":0,"delta":{"content":` + string(data) + `}}]}`
+}
+
+func usageEvent(usage sender.Usage) string {
+	data, _ := json.Marshal(usage)
+	return `{"object":"chat.completion.chunk","choices":[],"usage":` + string(data) + `}`
+}
+
+func (g *generation) add(event string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.events = append(g.events, event)
+	close(g.changed)
+	g.changed = make(chan struct{})
+}
+
+func (g *generation) finish() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.done = true
+	close(g.changed)
+	g.changed = make(chan struct{})
+}
+
+// from returns the events after a position, whether there will be more, and a
+// channel that is closed when that changes.
+func (g *generation) from(position int) ([]string, bool, <-chan struct{}) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if position > len(g.events) {
+		return nil, g.done, g.changed
+	}
+	return g.events[position:], g.done, g.changed
+}
+
+func (g *generation) attach(change int) int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.readers += change
+	return g.readers
+}
+
+func (e *Engine) resume(w http.ResponseWriter, r *http.Request) {
+	e.mu.Lock()
+	stream := e.streams[r.PathValue("id")]
+	refused := e.faults.NoResume
+	e.mu.Unlock()
+	after, err := strconv.Atoi(r.URL.Query().Get("after"))
+	if stream == nil || refused || err != nil {
+		http.NotFound(w, r)
+		return
+	}
+	w.Header().Set(sender.HeaderStream, r.PathValue("id"))
+	e.pipe(w, r, r.PathValue("id"), stream, after)
+}
+
+// pipe sends a stream's events to a reader.
+func (e *Engine) pipe(w http.ResponseWriter, r *http.Request, id string, stream *generation, position int) {
+	stream.attach(1)
+	defer e.detach(id, stream)
+	w.Header().Set("Content-Type", "text/event-stream")
+	w.WriteHeader(http.StatusOK)
+	flusher, _ := w.(http.Flusher)
+	for {
+		events, done, changed := stream.from(position)
+		for _, event := range events {
+			if e.cut(position) {
+				panic(http.ErrAbortHandler)
+			}
+			if _, err := fmt.Fprintf(w, "data: %s\n\n", event); err != nil {
+				return
+			}
+			position++
+		}
+		flusher.Flush()
+		if done {
+			return
+		}
+		select {
+		case <-changed:
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
+
+// cut reports whether the stream is to be cut at the position.
+func (e *Engine) cut(position int) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.faults.CutAfter == 0 || position != e.faults.CutAfter {
+		return false
+	}
+	e.cuts++
+	return e.faults.CutFor == 0 || e.cuts <= e.faults.CutFor
+}
+
+// detach ends a stream that has no reader for the grace time.
+func (e *Engine) detach(id string, stream *generation) {
+	if stream.attach(-1) > 0 {
+		return
+	}
+	time.AfterFunc(resumeGrace, func() {
+		if stream.attach(0) > 0 {
+			return
+		}
+		stream.cancel()
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		delete(e.streams, id)
+	})
+}
