Do not blame a new version for faults that others share

Change: answers that are lost on the way count against a version only if no other version's endpoint loses any within 3 s before or 0.6 s after; a third of the endpoints that the version's requests go to must be bad, since some break by themselves once all are in use.

--- a/internal/exchanger/exchanger.go
+++ b/internal/exchanger/exchanger.go
@@ -274,6 +274,10 @@
 	return n, err
 }
 
+// Framed reports whether the answer says where its body ends. The end of another
+// one may as well be that of a broken connection.
+func (r *Reply) Framed() bool { return !unframed(r.response) }
+
 // Close ends the exchange. A connection whose answer was not read to its end is
 // closed.
 func (r *Reply) Close() {
--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -112,15 +112,15 @@
 }
 
 // ran records a result of the endpoint's version.
-func (c *call) ran(choice *tracker.Choice, good bool, first, pace time.Duration) {
-	c.suspect = c.suspect || !good
+func (c *call) ran(choice *tracker.Choice, ending Ending, first, pace time.Duration) {
+	c.suspect = c.suspect || ending == Failed || ending == Broken
 	c.Believer.Ran(Result{
 		Service:  c.route.Service,
 		Version:  choice.Version,
 		Endpoint: choice.ID,
 		Route:    c.route.Name,
 		Model:    c.model(),
-		Good:     good,
+		Ending:   ending,
 		Expected: choice.Expected(),
 		First:    first,
 		Pace:     pace,
@@ -202,9 +202,9 @@
 
 // unanswered handles an attempt without an answer.
 func (c *call) unanswered(ctx context.Context, choice *tracker.Choice, failure *exchanger.Failure) (verdict, *answer, *classifier.Error) {
-	outcome, blame := failed, tracker.Bad
+	outcome, ending, blame := failed, Broken, tracker.Bad
 	if failure.Stage == exchanger.Unsent {
-		outcome, blame = unrun, tracker.Down
+		outcome, ending, blame = unrun, Unreached, tracker.Down
 	} else {
 		c.reached++
 		c.runs++
@@ -214,8 +214,8 @@
 	}
 	if ctx.Err() != nil {
 		blame = tracker.Neutral
-	} else if outcome == failed {
-		c.ran(choice, false, 0, 0)
+	} else {
+		c.ran(choice, ending, 0, 0)
 	}
 	choice.End(blame, 0)
 	c.log("attempt without answer", c.about(choice, "error", failure.Err, "sent", failure.Stage == exchanger.Sent)...)
@@ -256,16 +256,19 @@
 			blame = tracker.Neutral
 		}
 		if blame == tracker.Bad {
-			c.ran(choice, false, 0, 0)
+			c.ran(choice, Broken, 0, 0)
 		}
 		choice.End(blame, 0)
 		c.log("answer is spoilt", c.about(choice, "error", err, "status", reply.Status)...)
 		return failed, nil, classifier.Wrap(classifier.EndpointFailed, err, "the answer of endpoint %s is spoilt", choice.ID)
 	}
 	got := &answer{status: reply.Status, header: c.Codec.Reply(reply.Header), body: body}
-	good := reply.Status < http.StatusInternalServerError
-	c.ran(choice, good, took, 0)
-	if !good {
+	ending := Answered
+	if reply.Status >= http.StatusInternalServerError {
+		ending = Failed
+	}
+	c.ran(choice, ending, took, 0)
+	if ending == Failed {
 		choice.End(tracker.Bad, 0)
 		c.log("endpoint failed", c.about(choice, "status", reply.Status)...)
 		return failed, got, classifier.New(classifier.EndpointFailed, "endpoint %s failed with status %d", choice.ID, reply.Status)
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -139,6 +139,21 @@
 	Subset float64
 }
 
+// Ending is how an attempt ended.
+type Ending int
+
+// The endings.
+const (
+	// Answered attempts got a whole answer.
+	Answered Ending = iota
+	// Failed attempts got an answer that says so.
+	Failed
+	// Broken attempts got no whole answer.
+	Broken
+	// Unreached attempts did not get to the endpoint.
+	Unreached
+)
+
 // Result is how a request ran on a version.
 type Result struct {
 	Service  string
@@ -146,7 +161,7 @@
 	Endpoint string
 	Route    string
 	Model    string
-	Good     bool
+	Ending   Ending
 	// Expected is the time to the head of the answer that the endpoint's backlog
 	// and the prompt explained.
 	Expected time.Duration
--- a/internal/forwarder/size.go
+++ b/internal/forwarder/size.go
@@ -50,7 +50,7 @@
 	}
 	c.log("answer dropped for a larger model", c.about(choice, "confidence", notes.Confidence, "next", c.route.Sizes[size])...)
 	choice.End(tracker.Good, 0)
-	c.ran(choice, true, c.headed, 0)
+	c.ran(choice, Answered, c.headed, 0)
 	c.paid = true
 	c.size = size
 	// The endpoint holds the prompt now; the larger model may run there too.
--- a/internal/forwarder/stream.go
+++ b/internal/forwarder/stream.go
@@ -81,10 +81,10 @@
 			}
 		}
 	}
-	if errors.Is(err, io.EOF) && len(cut.buffer) == 0 && cut.count > 0 {
+	if errors.Is(err, io.EOF) && len(cut.buffer) == 0 && (cut.count > 0 || c.nothingLeft(reply)) {
 		pace := pace(time.Since(began), cut.count)
 		choice.End(tracker.Good, pace)
-		c.ran(choice, true, c.headed, pace)
+		c.ran(choice, Answered, c.headed, pace)
 		c.Counters.Served.Inc()
 		c.Counters.Whole.UpdateDuration(c.arrived)
 		c.log("stream served", c.about(choice, "first", noter.Brief(c.headed), "events", cut.count, "confidence", notes.Confidence)...)
@@ -93,6 +93,12 @@
 	return c.broken(ctx, choice, err, cut)
 }
 
+// nothingLeft reports whether a stream without events is the end of one whose
+// events have all been passed on: it broke behind the last of them.
+func (c *call) nothingLeft(reply *exchanger.Reply) bool {
+	return c.begun && c.after > 0 && reply.Framed()
+}
+
 // forward passes whole events on.
 func (c *call) forward(reply *exchanger.Reply, whole []byte, last int64) error {
 	if !c.begun {
@@ -117,7 +123,7 @@
 	if ctx.Err() != nil {
 		blame = tracker.Neutral
 	} else {
-		c.ran(choice, false, 0, 0)
+		c.ran(choice, Broken, 0, 0)
 	}
 	choice.End(blame, 0)
 	c.log("stream broken", c.about(choice, "error", err, "events", cut.count, "after", c.after)...)
--- a/internal/promoter/doubt.go
+++ b/internal/promoter/doubt.go
@@ -1,6 +1,10 @@
 package promoter
 
-import "math"
+import (
+	"math"
+	"slices"
+	"time"
+)
 
 const (
 	// usualBad is the share of bad results that a sound version may have, faultyBad
@@ -10,13 +14,20 @@
 	// endpointDoubt is the pooled doubt at which an endpoint counts as bad: two bad
 	// results with few good ones between them.
 	endpointDoubt = 3.5
-	// badEndpoints is the number of bad endpoints that speak against the version:
-	// one may be broken by itself.
+	// badEndpoints is the least number of bad endpoints that speak against the
+	// version, badShare their least share of those that its requests go to: some may
+	// be broken by themselves.
 	badEndpoints = 2
+	badShare     = 1.0 / 3
 	// loneDoubt speaks against a version that has only one endpoint in use.
 	loneDoubt = 12
 	// maxDoubt bounds the doubt, so that it fades within some good results.
 	maxDoubt = 15
+	// A loss at an endpoint of another version shows that the version is not to blame
+	// for one that comes within lossMemory after it or lossWait before it: a fault of
+	// many endpoints lasts some seconds, and broken ones soon get no more requests.
+	lossMemory = 3 * time.Second
+	lossWait   = 600 * time.Millisecond
 )
 
 // place is where a doubt arises: a version may be bad for one route only.
@@ -25,6 +36,12 @@
 	route    string
 }
 
+// loss is an answer that was lost on its way, at a time of the daemon's clock.
+type loss struct {
+	place
+	at time.Duration
+}
+
 // Doubts gathers one daemon's doubts about a version by a cumulative sum of
 // log-likelihood ratios, which also finds a version that turns bad late. It is
 // not safe for concurrent use.
@@ -32,6 +49,10 @@
 	sums map[place]float64
 	runs int
 	bad  int
+	// lost wait for what happens elsewhere; elsewhere is the newest loss there.
+	lost      []loss
+	elsewhere time.Duration
+	harmed    bool
 }
 
 // NewDoubts returns no doubts.
@@ -50,6 +71,37 @@
 	d.sums[at] = min(maxDoubt, max(0, d.sums[at]+step))
 }
 
+// Lost takes an answer that was lost on its way: the endpoint crashed or was cut
+// off, or the version is to blame.
+func (d *Doubts) Lost(endpoint, route string, at time.Duration) {
+	d.lost = append(d.lost, loss{place{endpoint, route}, at})
+}
+
+// LostElsewhere takes a loss at an endpoint of another version: losses of the same
+// moment are not the version's.
+func (d *Doubts) LostElsewhere(at time.Duration) {
+	d.elsewhere = at
+	d.harmed = true
+	d.lost = slices.DeleteFunc(d.lost, func(l loss) bool { return at-l.at <= lossWait })
+}
+
+// Settle counts the losses that nothing else explains. It reports whether there
+// were any.
+func (d *Doubts) Settle(now time.Duration) bool {
+	before := d.bad
+	var waiting []loss
+	for _, l := range d.lost {
+		switch {
+		case now-l.at <= lossWait:
+			waiting = append(waiting, l)
+		case !d.harmed || l.at-d.elsewhere > lossMemory:
+			d.Add(l.endpoint, l.route, false)
+		}
+	}
+	d.lost = waiting
+	return d.bad > before
+}
+
 // Runs returns the number of results, Bad that of the bad ones.
 func (d *Doubts) Runs() int { return d.runs }
 
@@ -69,8 +121,8 @@
 }
 
 // Adverse reports whether the doubts of all daemons speak against the version,
-// of which the given number of endpoints is in use.
-func Adverse(reports []map[string]float64, inUse int) bool {
+// whose requests go to a number of endpoints.
+func Adverse(reports []map[string]float64, used int) bool {
 	pooled := map[string]float64{}
 	for _, report := range reports {
 		for endpoint, doubt := range report {
@@ -84,5 +136,6 @@
 		}
 		most = max(most, doubt)
 	}
-	return bad >= badEndpoints || inUse <= 1 && most >= loneDoubt
+	least := max(badEndpoints, int(math.Ceil(badShare*float64(used))))
+	return bad >= least || used <= 1 && most >= loneDoubt
 }
--- a/internal/runner/progress.go
+++ b/internal/runner/progress.go
@@ -32,6 +32,9 @@
 		if known.state.Final() {
 			continue
 		}
+		if known.doubts.Settle(now) {
+			o.judge(known)
+		}
 		if report := o.report(known, now); report != nil {
 			writes = append(writes, report)
 		}
--- a/internal/runner/rollouts.go
+++ b/internal/runner/rollouts.go
@@ -11,6 +11,7 @@
 	"quetzalgrade.example/quetzalgrade/internal/noter"
 	"quetzalgrade.example/quetzalgrade/internal/promoter"
 	"quetzalgrade.example/quetzalgrade/internal/subscriber"
+	"quetzalgrade.example/quetzalgrade/internal/tracker"
 	"quetzalgrade.example/quetzalgrade/pkg/schema"
 )
 
@@ -198,14 +199,22 @@
 	for _, report := range known.reports {
 		reports = append(reports, report)
 	}
-	inUse := o.tracker.Versions(known.order.Service)[known.order.Target]
-	if promoter.Adverse(reports, inUse) {
+	if promoter.Adverse(reports, o.used(known)) {
 		known.adverse = true
 		o.logger.Warn("new version is worse", "service", known.order.Service, "target", known.order.Target,
 			"doubts", reports, "runs", known.doubts.Runs(), "elapsed", noter.Brief(o.process.Clock()-known.began), "results_age", noter.Brief(o.age(o.results)))
 	}
 }
 
+// used returns the number of endpoints that the new version's requests go to.
+func (o *rollouts) used(known *rollout) int {
+	endpoints := o.tracker.Versions(known.order.Service)[known.order.Target]
+	if known.state != promoter.Trial {
+		return endpoints
+	}
+	return tracker.SubsetOf(endpoints, o.subset(known))
+}
+
 func (o *rollouts) age(topic *subscriber.Subscriber) time.Duration {
 	age, proven := topic.Age()
 	if !proven {
--- a/internal/runner/usual.go
+++ b/internal/runner/usual.go
@@ -61,22 +61,46 @@
 func (o *rollouts) ran(result forwarder.Result) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	key := usualKey{result.Service, result.Route, result.Model}
 	known := o.services[result.Service]
 	if known == nil || known.order.Target != result.Version || known.state.Final() {
-		if result.Good {
-			o.usual[key] = o.usual[key].add(result)
-		}
+		o.ranOld(known, result)
 		return
 	}
-	good := result.Good
+	good := result.Ending == forwarder.Answered
+	switch result.Ending {
+	case forwarder.Unreached:
+		return
+	case forwarder.Broken:
+		known.doubts.Lost(result.Endpoint, result.Route, o.process.Clock())
+		return
+	case forwarder.Answered, forwarder.Failed:
+	}
 	if known.state == promoter.Trial {
 		// When all requests move at once, prompts are read anew and answers are
 		// slow for a while, whatever the version.
-		good = good && !o.usual[key].slow(result)
+		good = good && !o.usual[keyOf(result)].slow(result)
 	}
 	known.doubts.Add(result.Endpoint, result.Route, good)
 	if !good {
 		o.judge(known)
 	}
 }
+
+// ranOld takes a result of a version that is not on trial. What it loses shows
+// that a new version is not alone in losing answers.
+func (o *rollouts) ranOld(known *rollout, result forwarder.Result) {
+	switch result.Ending {
+	case forwarder.Answered:
+		key := keyOf(result)
+		o.usual[key] = o.usual[key].add(result)
+	case forwarder.Broken, forwarder.Unreached:
+		if known != nil {
+			known.doubts.LostElsewhere(o.process.Clock())
+		}
+	case forwarder.Failed:
+	}
+}
+
+func keyOf(result forwarder.Result) usualKey {
+	return usualKey{result.Service, result.Route, result.Model}
+}
--- a/internal/runner/versions.go
+++ b/internal/runner/versions.go
@@ -31,7 +31,7 @@
 	}
 	o.sessions.Began(question.Session, target, now)
 	if known.state == promoter.Trial {
-		return forwarder.Constraint{Only: target, Subset: subsetOfShare * promoter.ShareNow(known.status.Share, o.movable(known))}
+		return forwarder.Constraint{Only: target, Subset: o.subset(known)}
 	}
 	return forwarder.Constraint{Only: target}
 }
@@ -63,6 +63,11 @@
 // new endpoints that serve them: they are then under half of their usual load.
 const subsetOfShare = 2
 
+// subset returns the share of the new endpoints that serve a trial.
+func (o *rollouts) subset(known *rollout) float64 {
+	return subsetOfShare * promoter.ShareNow(known.status.Share, o.movable(known))
+}
+
 // movable reports whether sessions may move to the new version.
 func (o *rollouts) movable(known *rollout) bool {
 	return promoter.Movable(known.order, known.state, o.process.Clock()-known.began)
--- a/internal/tracker/choice.go
+++ b/internal/tracker/choice.go
@@ -150,12 +150,21 @@
 			states = append(states, known)
 		}
 	}
-	if query.Subset <= 0 || query.Subset >= 1 {
+	count := SubsetOf(len(states), query.Subset)
+	if count == len(states) {
 		return states
 	}
 	slices.SortFunc(states, func(a, b *state) int { return cmp.Compare(a.rank, b.rank) })
-	count := max(minSubset, int(math.Ceil(query.Subset*float64(len(states)))))
-	return states[:min(count, len(states))]
+	return states[:count]
+}
+
+// SubsetOf returns the number of endpoints in a share of a number of them; a share
+// of 0 is all.
+func SubsetOf(endpoints int, share float64) int {
+	if share <= 0 || share >= 1 {
+		return endpoints
+	}
+	return min(endpoints, max(minSubset, int(math.Ceil(share*float64(endpoints)))))
 }
 
 func (t *Tracker) view(known *state, health *picker.Health, now time.Time) picker.Endpoint {
