--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 GOBIN := $(shell go env GOPATH)/bin
 BINARY := bin/quetzalgrade
 
-.PHONY: all build demo test race lint format generate fuzz soak measure bench clean
+.PHONY: all build demo test race lint format generate fuzz pairs soak measure bench clean
 
 all: build lint test
 
@@ -63,10 +63,16 @@
 	go test -run '^$$' -fuzz FuzzBytes -fuzztime $(FUZZ_TIME) ./internal/decoder
 	go test -run '^$$' -fuzz FuzzToken -fuzztime $(FUZZ_TIME) ./internal/pinner
 
-# Runs random combinations of faults for longer than CI does.
+# Runs pairs of faults in virtual time, more of them than CI does.
 SOAK_RUNS ?= 200
-soak:
+pairs:
 	SOAK_RUNS=$(SOAK_RUNS) go test -count=1 -timeout 120m -run TestCombinedFaults -v ./internal/demonstrator
 
+# Runs daemons, log and endpoints as processes under faults from outside them.
+SOAK_SEEDS ?= 1000-1049
+SOAK_JOBS ?= 3
+soak:
+	SOAK_SEEDS=$(SOAK_SEEDS) go test -count=1 -timeout 120m -parallel $(SOAK_JOBS) -run TestSoak -v ./platform/soaker
+
 clean:
 	rm -rf bin
