--- a/internal/tracker/choice.go
+++ b/internal/tracker/choice.go
@@ -262,7 +262,7 @@
 	c.state.delay = max(0, took-c.prefill)
 	c.state.delayed = now
 	if c.query.Tokens > 0 {
-		t.meanDelay += time.Duration(delaySmoothing * float64(c.state.delay-t.meanDelay))
+		t.noteDelay(c.state.delay, now)
 	}
 	if c.Zone != t.zone {
 		t.reachOf(c.Zone).answered()
--- a/internal/tracker/prefill.go
+++ b/internal/tracker/prefill.go
@@ -46,8 +46,20 @@
 	t.speeds[query.Model] = speed + smoothing*(seen-speed)
 }
 
-// delaySmoothing is the weight of the newest answer in the mean delay.
-const delaySmoothing = 0.05
+const (
+	// delayMemory is the time in which the mean delay forgets; it does not depend on
+	// how many answers this daemon sees. maxDelayWeight bounds what one answer says.
+	delayMemory    = 600 * time.Millisecond
+	maxDelayWeight = 0.25
+)
+
+// noteDelay takes by how much an answer began later than its prompt explains.
+func (t *Tracker) noteDelay(delay time.Duration, now time.Time) {
+	since := now.Sub(t.meanDelayed)
+	t.meanDelayed = now
+	weight := min(maxDelayWeight, 1-math.Exp(-float64(since)/float64(delayMemory)))
+	t.meanDelay += time.Duration(weight * float64(delay-t.meanDelay))
+}
 
 // Expect returns the time after which an answer to the query would begin at the
 // best endpoint, and the mean delay of answers beyond what their prompts
--- a/internal/tracker/tracker.go
+++ b/internal/tracker/tracker.go
@@ -85,11 +85,13 @@
 	speeds    map[string]float64
 	// meanDelay is by how much answers begin later than their prompts explain.
 	meanDelay time.Duration
-	zone      string
-	random    *rand.Rand
-	now       func() time.Time
-	logger    hclog.Logger
-	ejections uint64
+	// meanDelayed is when it was last seen.
+	meanDelayed time.Time
+	zone        string
+	random      *rand.Rand
+	now         func() time.Time
+	logger      hclog.Logger
+	ejections   uint64
 }
 
 // New returns a tracker without endpoints for a daemon in the zone.
--- a/internal/tracker/tracker_test.go
+++ b/internal/tracker/tracker_test.go
@@ -106,6 +106,32 @@
 	}
 }
 
+// Load pattern: engines that fall behind while each of many daemons sees few
+// answers.
+func TestADelayOfAllIsFeltWhateverADaemonSees(t *testing.T) {
+	rows := map[string]time.Duration{"few answers": 100 * time.Millisecond, "many answers": 20 * time.Millisecond}
+	for name, gap := range rows {
+		t.Run(name, func(t *testing.T) {
+			tr, c := fleet(t, 8)
+			mean := func(length, late time.Duration) time.Duration {
+				for began := c.now; c.now.Sub(began) < length; c.move(gap) {
+					choice := pick(t, tr, prompt(1))
+					choice.Headed(choice.Expected() - choice.Backlog + late)
+					choice.End(tracker.Good, 0)
+				}
+				_, delay := tr.Expect(prompt(1))
+				return delay
+			}
+			if got := mean(time.Second, 800*time.Millisecond); got < 500*time.Millisecond || got > 800*time.Millisecond {
+				t.Errorf("mean delay got %v after a second of 800ms, want most of it", got)
+			}
+			if got := mean(2*time.Second, 0); got > 100*time.Millisecond {
+				t.Errorf("mean delay got %v two seconds later, want it forgotten", got)
+			}
+		})
+	}
+}
+
 func TestAnEndpointWithoutConnectionsRests(t *testing.T) {
 	tr, c := fleet(t, 4)
 	choice := pick(t, tr, prompt(3))
