Tell the daemons of a zone which endpoints are busy

Cause: on a grown deployment a daemon asks each engine every ten seconds or so, and engines have 12 slots: it sent requests to full ones. Its choice knew its own prompts and a delay that it forgets in a quarter of a second. Change: the relay exchanges loads that answers carried, twice a second in a zone, busy endpoints only; a full endpoint counts with the time until it has a slot.

--- /dev/null
+++ b/internal/relayer/loads.go
@@ -0,0 +1,85 @@
+package relayer
+
+import (
+	"context"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/go-faster/errors"
+	"google.golang.org/protobuf/types/known/durationpb"
+
+	"quetzalgrade.example/quetzalgrade/internal/tracker"
+	"quetzalgrade.example/quetzalgrade/pkg/schema"
+)
+
+const (
+	// loadInterval is the time between two exchanges of loads: a load that is older
+	// than a second tells nothing any more.
+	loadInterval = 500 * time.Millisecond
+	// loadTimeout bounds one exchange.
+	loadTimeout = 300 * time.Millisecond
+)
+
+// ShareLoads exchanges loads of endpoints with the zone's reader until ctx ends.
+func (r *Relayer) ShareLoads(ctx context.Context) error {
+	ticker := time.NewTicker(loadInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+			r.exchange(ctx)
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+// exchange tells the reader what this daemon has seen, and hears of the busy
+// endpoints. A failure costs nothing but the news: reads find out whether the
+// reader is there.
+func (r *Relayer) exchange(ctx context.Context) {
+	r.mu.Lock()
+	client, reader := r.service, r.reader
+	r.mu.Unlock()
+	if client == nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
+	defer cancel()
+	response, err := client.Loads(ctx, connect.NewRequest(&schema.LoadsRequest{
+		Zone: r.Zone, Reader: reader.Name, Loads: encodeLoads(r.Endpoints.Seen()),
+	}))
+	if err != nil {
+		r.Logger.Debug("loads are not exchanged", "reader", reader.Name, "error", err)
+		return
+	}
+	r.Endpoints.Hear(decodeLoads(response.Msg.GetLoads()))
+}
+
+// Loads implements schemaconnect.RelayServiceHandler.
+func (s *service) Loads(_ context.Context, request *connect.Request[schema.LoadsRequest]) (*connect.Response[schema.LoadsResponse], error) {
+	if request.Msg.GetZone() != s.Zone || request.Msg.GetReader() != s.Self.Name {
+		return nil, connect.NewError(connect.CodeNotFound, errors.New("another daemon was meant"))
+	}
+	if !s.reads() {
+		return nil, connect.NewError(connect.CodeUnavailable, errors.New("this daemon does not read for the zone"))
+	}
+	s.Endpoints.Hear(decodeLoads(request.Msg.GetLoads()))
+	return connect.NewResponse(&schema.LoadsResponse{Loads: encodeLoads(s.Endpoints.Busy())}), nil
+}
+
+func encodeLoads(loads []tracker.Load) []*schema.EndpointLoad {
+	var encoded []*schema.EndpointLoad
+	for _, load := range loads {
+		encoded = append(encoded, &schema.EndpointLoad{Endpoint: load.ID, Requests: uint32(max(0, load.Requests)), Age: durationpb.New(load.Age)})
+	}
+	return encoded
+}
+
+func decodeLoads(encoded []*schema.EndpointLoad) []tracker.Load {
+	var loads []tracker.Load
+	for _, load := range encoded {
+		loads = append(loads, tracker.Load{ID: load.GetEndpoint(), Requests: int(load.GetRequests()), Age: load.GetAge().AsDuration()})
+	}
+	return loads
+}
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -21,6 +21,7 @@
 
 	"quetzalgrade.example/quetzalgrade/internal/noter"
 	"quetzalgrade.example/quetzalgrade/internal/subscriber"
+	"quetzalgrade.example/quetzalgrade/internal/tracker"
 	"quetzalgrade.example/quetzalgrade/pkg/schema"
 	"quetzalgrade.example/quetzalgrade/pkg/schema/schemaconnect"
 )
@@ -51,6 +52,16 @@
 	AppendAt(ctx context.Context, key string, value []byte, at int64) error
 }
 
+// Loads are what a daemon knows of the endpoints' loads.
+type Loads interface {
+	// Seen returns those that answers to this daemon have carried, Busy those of
+	// busy endpoints, whoever saw them.
+	Seen() []tracker.Load
+	Busy() []tracker.Load
+	// Hear takes what others have seen.
+	Hear(loads []tracker.Load)
+}
+
 // Options are what a relayer works with.
 type Options struct {
 	Zone   string
@@ -58,7 +69,9 @@
 	Board  Board
 	Client *http.Client
 	Clock  subscriber.Clock
-	Logger hclog.Logger
+	// Endpoints are those whose loads are exchanged.
+	Endpoints Loads
+	Logger    hclog.Logger
 }
 
 // Relayer asks the zone's reader, or is it. It implements subscriber.Peer.
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -166,12 +166,13 @@
 func (r *Runner) share() {
 	settings := r.settings.Load()
 	r.relayer = relayer.New(relayer.Options{
-		Zone:   settings.Zone,
-		Self:   relayer.Record{Name: settings.Name, Address: settings.Relay},
-		Board:  r.process.Readers,
-		Client: &http.Client{Transport: connector.Transport(r.process.Network)},
-		Clock:  r.process.Clock,
-		Logger: r.logger,
+		Zone:      settings.Zone,
+		Self:      relayer.Record{Name: settings.Name, Address: settings.Relay},
+		Board:     r.process.Readers,
+		Client:    &http.Client{Transport: connector.Transport(r.process.Network)},
+		Clock:     r.process.Clock,
+		Endpoints: r.tracker,
+		Logger:    r.logger,
 	})
 	if settings.Relay.IsValid() {
 		r.relayer.Share(r.declared, r.registered, r.rollouts.status, r.rollouts.results)
@@ -237,6 +238,7 @@
 	run(r.reload)
 	if r.listeners.relay != nil {
 		run(r.relayer.Run)
+		run(r.relayer.ShareLoads)
 	}
 	r.callers = r.server(r.forwarder)
 	r.serve(group, r.callers, r.listeners.callers)
--- a/internal/tracker/choice.go
+++ b/internal/tracker/choice.go
@@ -48,6 +48,7 @@
 	query   Query
 	// prefill is the time that the prompt needs by itself.
 	prefill time.Duration
+	began   time.Time
 	headed  bool
 	ended   bool
 	Registration
@@ -82,6 +83,7 @@
 		state:        known,
 		query:        query,
 		prefill:      prefill,
+		began:        now,
 		Registration: known.Registration,
 		Load:         chosen.Load,
 		Backlog:      chosen.Backlog,
@@ -180,7 +182,7 @@
 		Slowness: health.Slowness(known.Address),
 		Ejected:  health.Ejected(known.Address, now) || now.Before(known.down) || t.cut(known.Zone, now),
 		Probing:  health.Probing(known.Address),
-		Backlog:  max(known.prefill, known.delayAt(now)),
+		Backlog:  max(known.prefill, known.delayAt(now), t.slotWait(known, load)),
 	}
 }
 
@@ -229,6 +231,7 @@
 	switch outcome {
 	case Good:
 		c.state.downs = 0
+		t.noteLength(c.Service, now.Sub(c.began))
 		health.Succeeded(c.Address, pace, now)
 		health.Recover(c.Address, now)
 	case Down, Unreachable:
@@ -285,8 +288,9 @@
 	t := c.tracker
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	c.state.others = max(0, running+waiting-c.state.inflight)
-	c.state.reported = t.now()
+	now := t.now()
+	c.state.hear(running+waiting, now)
+	c.state.seen = now
 }
 
 // Misdirected records that another endpoint has the address.
--- a/internal/tracker/tracker.go
+++ b/internal/tracker/tracker.go
@@ -64,6 +64,8 @@
 	// others is the load that came from other daemons at the newest report.
 	others   int
 	reported time.Time
+	// seen is when an answer to this daemon last carried the load.
+	seen time.Time
 	// rank orders endpoints at random, alike on all daemons.
 	rank uint64
 	// down is until when the endpoint gets no work after its host refused or did
@@ -87,11 +89,13 @@
 	meanDelay time.Duration
 	// meanDelayed is when it was last seen.
 	meanDelayed time.Time
-	zone        string
-	random      *rand.Rand
-	now         func() time.Time
-	logger      hclog.Logger
-	ejections   uint64
+	// lengths are the mean times of a request in a slot by service.
+	lengths   map[string]time.Duration
+	zone      string
+	random    *rand.Rand
+	now       func() time.Time
+	logger    hclog.Logger
+	ejections uint64
 }
 
 // New returns a tracker without endpoints for a daemon in the zone.
@@ -101,6 +105,7 @@
 		health:    map[string]*picker.Health{},
 		zones:     map[string]*reach{},
 		speeds:    map[string]float64{},
+		lengths:   map[string]time.Duration{},
 		zone:      zone,
 		random:    random,
 		now:       now,
--- a/internal/tracker/tracker_test.go
+++ b/internal/tracker/tracker_test.go
@@ -132,6 +132,62 @@
 	}
 }
 
+// Load pattern: endpoints with few slots, filled by the requests of many other
+// daemons.
+func TestAnEndpointThatOthersFillIsPassedOver(t *testing.T) {
+	rows := map[string]struct {
+		load tracker.Load
+		// passed is set when the home of the subject must not be chosen.
+		passed bool
+	}{
+		"a free slot":       {tracker.Load{Requests: 7}, false},
+		"all slots taken":   {tracker.Load{Requests: 16}, true},
+		"taken long ago":    {tracker.Load{Requests: 16, Age: 2 * time.Second}, false},
+		"an unknown engine": {tracker.Load{ID: "e99", Requests: 16}, false},
+	}
+	for name, row := range rows {
+		t.Run(name, func(t *testing.T) {
+			tr, c := fleet(t, 8)
+			home := pick(t, tr, prompt(1))
+			c.move(time.Second)
+			home.Headed(home.Expected())
+			home.End(tracker.Good, 0)
+			c.move(10 * time.Second)
+			if row.load.ID == "" {
+				row.load.ID = home.ID
+			}
+			tr.Hear([]tracker.Load{row.load})
+			if got := pick(t, tr, prompt(1)).ID; (got != home.ID) != row.passed {
+				t.Errorf("Pick() got %s with %d requests at home %s, want another: %t", got, row.load.Requests, home.ID, row.passed)
+			}
+		})
+	}
+}
+
+func TestLoadsAreToldAsOldAsTheyAre(t *testing.T) {
+	tr, c := fleet(t, 4)
+	choice := pick(t, tr, prompt(1))
+	choice.Report(9, 3)
+	c.move(300 * time.Millisecond)
+	for name, loads := range map[string][]tracker.Load{"Seen": tr.Seen(), "Busy": tr.Busy()} {
+		if len(loads) != 1 || loads[0].ID != choice.ID || loads[0].Requests != 12 || loads[0].Age != 300*time.Millisecond {
+			t.Errorf("%s() got %+v, want 12 requests of %s 300ms ago", name, loads, choice.ID)
+		}
+	}
+	tr.Hear([]tracker.Load{{ID: choice.ID, Requests: 2, Age: 500 * time.Millisecond}})
+	if got := tr.Busy(); len(got) != 1 {
+		t.Errorf("Busy() got %+v after older news, want what this daemon saw", got)
+	}
+	tr.Hear([]tracker.Load{{ID: choice.ID, Requests: 2, Age: 100 * time.Millisecond}})
+	if got := tr.Busy(); len(got) != 0 {
+		t.Errorf("Busy() got %+v after newer news of an idle endpoint, want none", got)
+	}
+	c.move(2 * time.Second)
+	if got := tr.Seen(); len(got) != 0 {
+		t.Errorf("Seen() got %+v two seconds later, want none", got)
+	}
+}
+
 func TestAnEndpointWithoutConnectionsRests(t *testing.T) {
 	tr, c := fleet(t, 4)
 	choice := pick(t, tr, prompt(3))
--- a/pkg/schema/schemaconnect/relay.connect.go
+++ b/pkg/schema/schemaconnect/relay.connect.go
@@ -35,11 +35,15 @@
 const (
 	// RelayServiceReadProcedure is the fully-qualified name of the RelayService's Read RPC.
 	RelayServiceReadProcedure = "/quetzalgrade.v1.RelayService/Read"
+	// RelayServiceLoadsProcedure is the fully-qualified name of the RelayService's Loads RPC.
+	RelayServiceLoadsProcedure = "/quetzalgrade.v1.RelayService/Loads"
 )
 
 // RelayServiceClient is a client for the quetzalgrade.v1.RelayService service.
 type RelayServiceClient interface {
 	Read(context.Context, *connect.Request[schema.RelayRequest]) (*connect.Response[schema.RelayResponse], error)
+	// Loads brings together what the daemons of a zone see of the endpoints.
+	Loads(context.Context, *connect.Request[schema.LoadsRequest]) (*connect.Response[schema.LoadsResponse], error)
 }
 
 // NewRelayServiceClient constructs a client for the quetzalgrade.v1.RelayService service. By
@@ -59,12 +63,19 @@
 			connect.WithSchema(relayServiceMethods.ByName("Read")),
 			connect.WithClientOptions(opts...),
 		),
+		loads: connect.NewClient[schema.LoadsRequest, schema.LoadsResponse](
+			httpClient,
+			baseURL+RelayServiceLoadsProcedure,
+			connect.WithSchema(relayServiceMethods.ByName("Loads")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
 // relayServiceClient implements RelayServiceClient.
 type relayServiceClient struct {
-	read *connect.Client[schema.RelayRequest, schema.RelayResponse]
+	read  *connect.Client[schema.RelayRequest, schema.RelayResponse]
+	loads *connect.Client[schema.LoadsRequest, schema.LoadsResponse]
 }
 
 // Read calls quetzalgrade.v1.RelayService.Read.
@@ -72,9 +83,16 @@
 	return c.read.CallUnary(ctx, req)
 }
 
+// Loads calls quetzalgrade.v1.RelayService.Loads.
+func (c *relayServiceClient) Loads(ctx context.Context, req *connect.Request[schema.LoadsRequest]) (*connect.Response[schema.LoadsResponse], error) {
+	return c.loads.CallUnary(ctx, req)
+}
+
 // RelayServiceHandler is an implementation of the quetzalgrade.v1.RelayService service.
 type RelayServiceHandler interface {
 	Read(context.Context, *connect.Request[schema.RelayRequest]) (*connect.Response[schema.RelayResponse], error)
+	// Loads brings together what the daemons of a zone see of the endpoints.
+	Loads(context.Context, *connect.Request[schema.LoadsRequest]) (*connect.Response[schema.LoadsResponse], error)
 }
 
 // NewRelayServiceHandler builds an HTTP handler from the service implementation. It returns the
@@ -90,10 +108,18 @@
 		connect.WithSchema(relayServiceMethods.ByName("Read")),
 		connect.WithHandlerOptions(opts...),
 	)
+	relayServiceLoadsHandler := connect.NewUnaryHandler(
+		RelayServiceLoadsProcedure,
+		svc.Loads,
+		connect.WithSchema(relayServiceMethods.ByName("Loads")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/quetzalgrade.v1.RelayService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case RelayServiceReadProcedure:
 			relayServiceReadHandler.ServeHTTP(w, r)
+		case RelayServiceLoadsProcedure:
+			relayServiceLoadsHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -106,3 +132,7 @@
 func (UnimplementedRelayServiceHandler) Read(context.Context, *connect.Request[schema.RelayRequest]) (*connect.Response[schema.RelayResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("quetzalgrade.v1.RelayService.Read is not implemented"))
 }
+
+func (UnimplementedRelayServiceHandler) Loads(context.Context, *connect.Request[schema.LoadsRequest]) (*connect.Response[schema.LoadsResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("quetzalgrade.v1.RelayService.Loads is not implemented"))
+}
