Accept fractions in all numeric settings

Change: slack is a double; window and extra, which no decision used, are no longer read; a share is at most 1.

--- a/internal/commander/commander.go
+++ b/internal/commander/commander.go
@@ -39,6 +39,11 @@
 func Main(args []string, out, errOut io.Writer) int {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
+	return Run(ctx, args, out, errOut)
+}
+
+// Run is Main with the context of the command.
+func Run(ctx context.Context, args []string, out, errOut io.Writer) int {
 	err := newRootCommand(out, errOut).Run(ctx, args)
 	if err == nil {
 		return exitOK
--- a/internal/runner/settings.go
+++ b/internal/runner/settings.go
@@ -34,15 +34,12 @@
 	DrainDeadline time.Duration
 	// StopGrace is the time between a planned stop and the kill that follows it.
 	StopGrace time.Duration
-	// RetryRatio is the number of retries allowed for each request in RetryWindow,
-	// ExtraRetries the number in a window that is allowed on top.
-	RetryRatio   float64
-	RetryWindow  time.Duration
-	ExtraRetries int
+	// RetryRatio is the number of retries allowed for each request.
+	RetryRatio float64
 	// ExposureShare is the share of a service's requests that a bad version may get
 	// during a rollout, ExposureSlack the number of requests on top.
 	ExposureShare float64
-	ExposureSlack int
+	ExposureSlack float64
 	// SessionTimeout is the pause after which requests with one session id no longer
 	// belong together.
 	SessionTimeout time.Duration
@@ -105,6 +102,22 @@
 	return level
 }
 
+// share checks a share of a whole.
+func (c *settingsChecker) share(path string, value float64) float64 {
+	if !(value >= 0) || value > 1 {
+		c.fault(path, "is not between 0 and 1", "write it as 0.15")
+	}
+	return value
+}
+
+// count checks a number that bounds a count. It may have a fraction.
+func (c *settingsChecker) count(path string, value float64) float64 {
+	if !(value >= 0) {
+		c.fault(path, "is negative", "write it as 30")
+	}
+	return value
+}
+
 // CheckSettings converts the schema's settings to checked ones. The error is a
 // decoder.Faults. source adds the file and the lines to it.
 func CheckSettings(settings *schema.EntrySettings, source decoder.Source) (Settings, error) {
@@ -123,10 +136,8 @@
 		DrainDeadline:  c.duration("bounds.leave", bounds.GetLeave()),
 		StopGrace:      c.duration("bounds.grace", bounds.GetGrace()),
 		RetryRatio:     c.ratio("bounds.repeats", bounds.GetRepeats()),
-		RetryWindow:    c.duration("bounds.window", bounds.GetWindow()),
-		ExtraRetries:   int(bounds.GetExtra()),
-		ExposureShare:  c.ratio("bounds.expose", bounds.GetExpose()),
-		ExposureSlack:  int(bounds.GetSlack()),
+		ExposureShare:  c.share("bounds.expose", bounds.GetExpose()),
+		ExposureSlack:  c.count("bounds.slack", bounds.GetSlack()),
 		SessionTimeout: c.duration("bounds.session", bounds.GetSession()),
 	}
 	return checked, source.Locate(c.faults).Err()
--- a/internal/runner/settings_test.go
+++ b/internal/runner/settings_test.go
@@ -27,8 +27,6 @@
 leave = "2000ms"
 grace = "8s"
 repeats = 0.9
-window = "10s"
-extra = 52
 expose = 0.15
 slack = 30
 session = "6.7s"
@@ -48,7 +46,9 @@
 		"misspelt key":      {"revoke =", "revok =", []string{":15:", "revok", "revoke"}},
 		"zero duration":     {`"8s"`, `"0s"`, []string{":17:", "bounds.grace"}},
 		"unknown log level": {`zone = "ouse"`, "zone = \"ouse\"\nlog = \"inof\"", []string{":3:", "log: \"inof\" is not a log level", "info"}},
-		"negative share":    {"expose = 0.15", "expose = -1.0", []string{":21:", "bounds.expose"}},
+		"negative share":    {"expose = 0.15", "expose = -1.0", []string{":19:", "bounds.expose"}},
+		"share over 1":      {"expose = 0.15", "expose = 1.5", []string{":19:", "bounds.expose", "between 0 and 1"}},
+		"negative slack":    {"slack = 30", "slack = -0.5", []string{":20:", "bounds.slack"}},
 		"not TOML":          {"[bounds]", "[bounds", []string{":14:"}},
 	}
 	for name, row := range rows {
