Keep endpoints after an outage only until its own end plus the grace

Cause: a registration that was missing within 3 s of a failed read was taken for one that expired in the outage, and its endpoint kept for 2.2 s from that read. Change: the grace counts from the first read that succeeds again; a registration that is missing later is gone.

--- a/internal/runner/follow.go
+++ b/internal/runner/follow.go
@@ -50,32 +50,45 @@
 	}
 }
 
-// outageWindow is how long after a failed read a missing registration is
-// attributed to an outage of the log: the endpoint could not renew the record,
-// so it expired.
-const outageWindow = 3 * time.Second
+// outageGrace is how long after an outage of the log an endpoint is kept whose
+// registration is missing: the endpoint may have been unable to renew it, and
+// registers again within about two seconds.
+const outageGrace = 2200 * time.Millisecond
+
+// remainingGrace returns how much longer a missing registration may be due to an
+// outage of the log. It counts from the end of the outage, not from the read that
+// misses the registration: an endpoint that left since then must not be kept.
+func (r *Runner) remainingGrace() time.Duration {
+	remaining := time.Duration(0)
+	for _, topic := range []*subscriber.Subscriber{r.operatorTopic, r.endpointTopic} {
+		if elapsed, ok := topic.SinceOutage(); ok {
+			remaining = max(remaining, outageGrace-elapsed)
+		}
+	}
+	return remaining
+}
 
 // applyRegistrations updates the tracker from the endpoints' topic. It logs an
 // invalid registration and removes its endpoint.
 func (r *Runner) applyRegistrations(change subscriber.Change) {
-	outage := r.operatorTopic.FailedWithin(outageWindow) || r.endpointTopic.FailedWithin(outageWindow)
+	grace := r.remainingGrace()
 	seen := map[string]bool{}
 	for _, record := range change.Records {
 		if len(record.Value) == 0 {
-			r.tracker.Remove(record.Key, outage)
+			r.tracker.Remove(record.Key, grace)
 			continue
 		}
 		registration, err := r.deps.Translator.DecodeRegistration(record)
 		if err != nil {
 			r.logger.Warn("invalid registration", "key", record.Key, "offset", record.Offset, "error", err)
-			r.tracker.Remove(record.Key, false)
+			r.tracker.Remove(record.Key, 0)
 			continue
 		}
 		seen[record.Key] = true
 		r.tracker.Put(registration)
 	}
 	if change.Complete {
-		r.tracker.Retain(seen, outage)
+		r.tracker.Retain(seen, grace)
 	}
 	r.rollouts.updateCurrentVersions()
 }
--- a/internal/subscriber/subscriber.go
+++ b/internal/subscriber/subscriber.go
@@ -112,9 +112,10 @@
 	// failing is set while the latest read has failed.
 	failing bool
 	reads   uint64
-	// failedAt is the time of the last failure. It is valid if hasFailed is set.
-	failedAt  time.Duration
-	hasFailed bool
+	// recoveredAt is the time of the first read that succeeded after the last failed
+	// one. It is valid if hasRecovered is set.
+	recoveredAt  time.Duration
+	hasRecovered bool
 }
 
 // ReadTiming configures the timing of a subscriber's reads.
@@ -332,12 +333,15 @@
 	}
 }
 
-// FailedWithin reports whether a read is failing or has failed within the given
-// time.
-func (s *Subscriber) FailedWithin(within time.Duration) bool {
+// SinceOutage returns the time since reads succeed again, and zero while they
+// fail. It returns false if no read has failed.
+func (s *Subscriber) SinceOutage() (elapsed time.Duration, ok bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.failing || s.hasFailed && s.clock()-s.failedAt < within
+	if s.failing {
+		return 0, true
+	}
+	return s.clock() - s.recoveredAt, s.hasRecovered
 }
 
 func (s *Subscriber) isFailing() bool {
@@ -352,10 +356,6 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.reads++
-	if err != nil {
-		s.hasFailed = true
-		s.failedAt = s.clock()
-	}
 	failing := err != nil
 	if failing == s.failing {
 		return
@@ -366,6 +366,8 @@
 		s.logger.Warn("cannot read topic from the log", "topic", s.name, "error", err, "proof_age", noter.FormatDuration(s.clock()-s.verifiedAt))
 		return
 	}
+	s.recoveredAt = s.clock()
+	s.hasRecovered = true
 	s.logger.Info("reads of topic succeed again", "topic", s.name, "offset", s.nextOffset)
 }
 
--- a/internal/tracker/tracker.go
+++ b/internal/tracker/tracker.go
@@ -46,14 +46,8 @@
 	return r.Sequence < other.Sequence
 }
 
-const (
-	// outageGrace is how long an endpoint is kept whose registration expired
-	// during an outage of the log. A live endpoint registers again within about
-	// two seconds.
-	outageGrace = 2200 * time.Millisecond
-	// loadReportTTL is how long a load report counts.
-	loadReportTTL = time.Second
-)
+// loadReportTTL is how long a load report counts.
+const loadReportTTL = time.Second
 
 // endpointState is what this daemon has recorded about one endpoint.
 type endpointState struct {
@@ -168,38 +162,38 @@
 		"address", registration.Address, "zone", registration.Zone, "slots", registration.Slots, "sequence", registration.Sequence)
 }
 
-// Remove removes an endpoint whose registration is gone. After an outage of the
-// log the endpoint is kept for a grace period, because its registration may have
-// expired although the endpoint is alive.
-func (t *Tracker) Remove(id string, afterOutage bool) {
+// Remove removes an endpoint whose registration is gone. If the registration may
+// have expired in an outage of the log although the endpoint is alive, the endpoint
+// is kept for the grace period; zero means that it is removed at once.
+func (t *Tracker) Remove(id string, grace time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.remove(id, afterOutage)
+	t.remove(id, grace)
 }
 
-func (t *Tracker) remove(id string, afterOutage bool) {
+func (t *Tracker) remove(id string, grace time.Duration) {
 	endpoint := t.endpoints[id]
 	if endpoint == nil {
 		return
 	}
-	if !afterOutage || endpoint.Draining {
+	if grace <= 0 || endpoint.Draining {
 		t.logChange("endpoint removed", endpoint.Registration)
 		delete(t.endpoints, id)
 		return
 	}
 	if endpoint.removeAt.IsZero() {
 		t.logChange("registration expired during a log outage; keeping the endpoint for a grace period", endpoint.Registration)
-		endpoint.removeAt = t.now().Add(outageGrace)
+		endpoint.removeAt = t.now().Add(grace)
 	}
 }
 
 // Retain removes the endpoints that are not among the ids, as Remove does.
-func (t *Tracker) Retain(ids map[string]bool, afterOutage bool) {
+func (t *Tracker) Retain(ids map[string]bool, grace time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for id := range t.endpoints {
 		if !ids[id] {
-			t.remove(id, afterOutage)
+			t.remove(id, grace)
 		}
 	}
 }
