--- a/Makefile
+++ b/Makefile
@@ -71,6 +71,8 @@
 	go test -run '^$$' -fuzz FuzzParseChat -fuzztime $(FUZZ_TIME) ./internal/gateway
 	go test -run '^$$' -fuzz FuzzBytes -fuzztime $(FUZZ_TIME) ./internal/decoder
 	go test -run '^$$' -fuzz FuzzToken -fuzztime $(FUZZ_TIME) ./internal/pinner
+	go test -run '^$$' -fuzz FuzzEventBuffer -fuzztime $(FUZZ_TIME) ./internal/forwarder
+	go test -run '^$$' -fuzz FuzzResponse -fuzztime $(FUZZ_TIME) ./internal/exchanger
 
 # Runs pairs of faults in virtual time, more of them than CI does.
 SOAK_RUNS ?= 200
--- a/internal/classifier/classifier.go
+++ b/internal/classifier/classifier.go
@@ -21,6 +21,7 @@
 	Forbidden              Kind = "forbidden"
 	NotFound               Kind = "not_found"
 	BodyTooLarge           Kind = "body_too_large"
+	BodyIncomplete         Kind = "body_incomplete"
 	UnsupportedContentType Kind = "wrong_content"
 	RateLimited            Kind = "rate_limited"
 	SpendExceeded          Kind = "spend_exceeded"
@@ -82,6 +83,7 @@
 	Forbidden:              {http.StatusForbidden, connect.CodePermissionDenied, NotExecuted, false, "ask the operator to allow it in the account's template"},
 	NotFound:               {http.StatusNotFound, connect.CodeNotFound, NotExecuted, false, "check the path and the name"},
 	BodyTooLarge:           {http.StatusRequestEntityTooLarge, connect.CodeInvalidArgument, NotExecuted, false, "send a smaller body"},
+	BodyIncomplete:         {http.StatusRequestTimeout, connect.CodeDeadlineExceeded, NotExecuted, true, "send the whole body before the deadline"},
 	UnsupportedContentType: {http.StatusUnsupportedMediaType, connect.CodeInvalidArgument, NotExecuted, false, "send Content-Type: application/json"},
 	RateLimited:            {http.StatusTooManyRequests, connect.CodeResourceExhausted, NotExecuted, true, "wait for Retry-After, then send again"},
 	SpendExceeded:          {http.StatusPaymentRequired, connect.CodeResourceExhausted, NotExecuted, false, "the account has spent its allowance of the day"},
--- a/internal/exchanger/exchanger.go
+++ b/internal/exchanger/exchanger.go
@@ -38,8 +38,10 @@
 	maxInlineBodyBytes = 8 << 10
 	// maxResponses bounds the responses that are read for one request. It counts the
 	// skipped ones: interim responses and responses to other requests.
-	// maxSkippedBytes bounds the body of each response to another request.
+	// maxHeadBytes bounds the head of each of them, maxSkippedBytes the body of each
+	// response to another request.
 	maxResponses    = 4
+	maxHeadBytes    = 32 << 10
 	maxSkippedBytes = 1 << 20
 	bufferBytes     = 4 << 10
 )
@@ -107,10 +109,16 @@
 // conn is a connection to an endpoint.
 type conn struct {
 	net.Conn
+	limiter      *headLimiter
 	reader       *bufio.Reader
 	idleDeadline time.Time
 }
 
+func newConn(netConn net.Conn) *conn {
+	limiter := &headLimiter{reader: netConn}
+	return &conn{Conn: netConn, limiter: limiter, reader: bufio.NewReaderSize(limiter, bufferBytes)}
+}
+
 // Response is the head of a response, and a reader of its body. Close must be
 // called. It keeps the connection for another request if the body was read to its
 // end.
@@ -207,7 +215,7 @@
 	e.mu.Lock()
 	e.opened++
 	e.mu.Unlock()
-	return &conn{Conn: netConn, reader: bufio.NewReaderSize(netConn, bufferBytes)}, nil
+	return newConn(netConn), nil
 }
 
 // write sends the request. The channel yields the result of writing the body.
@@ -247,7 +255,9 @@
 func (e *Exchanger) readHead(connection *conn, request *Request) (*http.Response, error) {
 	httpRequest := &http.Request{Method: request.Method}
 	for range maxResponses {
+		connection.limiter.begin()
 		response, err := http.ReadResponse(connection.reader, httpRequest)
+		connection.limiter.end()
 		if err != nil {
 			return nil, errors.Wrap(err, "read response")
 		}
@@ -285,6 +295,10 @@
 	return n, err
 }
 
+// ContentLength returns the length of the body that the header announces, or -1 if
+// it announces none.
+func (r *Response) ContentLength() int64 { return r.httpResponse.ContentLength }
+
 // SelfDelimited reports whether the header says where the body ends. The end of
 // any other body cannot be told from a broken connection.
 func (r *Response) SelfDelimited() bool { return !closeDelimited(r.httpResponse) }
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -7,6 +7,7 @@
 	"context"
 	"io"
 	"net/http"
+	"os"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -367,7 +368,16 @@
 	if c.http.Body == nil || c.http.Body == http.NoBody {
 		return nil
 	}
+	// A body that trickles in must not hold the daemon's memory past the deadline.
+	control := http.NewResponseController(c.writer)
+	if err := control.SetReadDeadline(c.deadline); err != nil {
+		return classifier.Wrap(classifier.Internal, err, "failed to bound the time to read the request body")
+	}
 	body, err := io.ReadAll(io.LimitReader(c.http.Body, limit+1))
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		c.writer.Header().Set("Connection", "close")
+		return classifier.Wrap(classifier.BodyIncomplete, err, "the request body did not arrive before the deadline")
+	}
 	if err != nil {
 		return classifier.Wrap(classifier.ClientDisconnected, err, "failed to read the request body")
 	}
@@ -375,6 +385,9 @@
 		return classifier.New(classifier.BodyTooLarge, "the body has more than %d bytes", limit)
 	}
 	c.body = body
+	if err := control.SetReadDeadline(time.Time{}); err != nil {
+		return classifier.Wrap(classifier.Internal, err, "failed to lift the bound on the time to read the request body")
+	}
 	return nil
 }
 
--- a/internal/forwarder/stream.go
+++ b/internal/forwarder/stream.go
@@ -16,10 +16,15 @@
 	"quetzalgrade.example/quetzalgrade/internal/tracker"
 )
 
+// maxEventBytes bounds one event of a stream.
+const maxEventBytes = 64 << 10
+
 // eventBuffer splits a stream of server-sent events into complete events.
 type eventBuffer struct {
-	// buffer holds the bytes of an event that is not complete yet.
-	buffer []byte
+	// buffer holds the events that the last call of add returned, which are its
+	// first consumed bytes, and the bytes of an event that is not complete yet.
+	buffer   []byte
+	consumed int
 	// lastID is the id of the last complete event.
 	lastID int64
 	// count is the number of complete events.
@@ -32,27 +37,43 @@
 )
 
 // add appends bytes of the stream and returns the events that they complete. The
-// result is valid until the next call.
-func (e *eventBuffer) add(data []byte) []byte {
+// result is valid until the next call. The error reports an event that exceeds
+// maxEventBytes; the events before it are returned too.
+func (e *eventBuffer) add(data []byte) ([]byte, error) {
+	e.buffer = e.buffer[:copy(e.buffer, e.buffer[e.consumed:])]
+	e.consumed = 0
+	// The end of an event may begin with the last byte of earlier data.
+	searchFrom := max(0, len(e.buffer)-1)
 	e.buffer = append(e.buffer, data...)
-	end := bytes.LastIndex(e.buffer, eventEnd)
-	if end < 0 {
-		return nil
+	if end := bytes.LastIndex(e.buffer[searchFrom:], eventEnd); end >= 0 {
+		e.consumed = searchFrom + end + len(eventEnd)
+	}
+	// A further empty line between two events belongs to neither.
+	for e.consumed < len(e.buffer) && e.buffer[e.consumed] == '\n' {
+		e.consumed++
 	}
-	complete := e.buffer[:end+len(eventEnd)]
-	e.scan(complete)
-	rest := e.buffer[len(complete):]
-	e.buffer = append([]byte(nil), rest...)
-	return complete
+	e.scan(e.buffer[:e.consumed])
+	if e.incomplete() > maxEventBytes {
+		return e.buffer[:e.consumed], errors.Errorf("event of %d bytes or more, at most %d are allowed", e.incomplete(), maxEventBytes)
+	}
+	return e.buffer[:e.consumed], nil
 }
 
+// incomplete returns the number of bytes of the event that is not complete yet.
+func (e *eventBuffer) incomplete() int { return len(e.buffer) - e.consumed }
+
 // scan counts the events and stores the last id.
 func (e *eventBuffer) scan(complete []byte) {
+	inEvent := false
 	for line := range bytes.Lines(complete) {
 		if len(line) == 1 {
-			e.count++
+			if inEvent {
+				e.count++
+			}
+			inEvent = false
 			continue
 		}
+		inEvent = true
 		value, found := bytes.CutPrefix(line, eventID)
 		if !found {
 			continue
@@ -76,19 +97,22 @@
 	for err == nil {
 		var n int
 		n, err = response.Read(buffer)
-		if complete := events.add(buffer[:n]); len(complete) > 0 {
+		complete, eventErr := events.add(buffer[:n])
+		if eventErr != nil {
+			err = eventErr
+		}
+		if len(complete) > 0 {
 			if writeErr := c.writeEvents(response, complete, events.lastID); writeErr != nil {
 				choice.End(tracker.Neutral, 0)
 				return statusFailed, nil, classifier.Wrap(classifier.ClientDisconnected, writeErr, "failed to write to the client")
 			}
 		}
 	}
-	if errors.Is(err, io.EOF) && len(events.buffer) == 0 && (events.count > 0 || c.resumedAtEnd(response)) {
+	if errors.Is(err, io.EOF) && events.incomplete() == 0 && (events.count > 0 || c.resumedAtEnd(response)) {
 		pace := decodePace(time.Since(startedAt), events.count)
 		choice.End(tracker.Success, pace)
 		c.recordResult(choice, Completed, c.ttft, pace)
-		c.Counters.Served.Inc()
-		c.Counters.WholeResponse.UpdateDuration(c.arrived)
+		c.countServed()
 		c.log("stream served", c.endpointFields(choice, "first", noter.FormatDuration(c.ttft), "events", events.count, "confidence", info.Confidence)...)
 		return statusDone, nil, nil
 	}
@@ -106,13 +130,8 @@
 // header if it has not been written yet.
 func (c *call) writeEvents(response *exchanger.Response, complete []byte, lastID int64) error {
 	if !c.responseStarted {
-		c.responseStarted = true
 		c.Counters.FirstEvent.UpdateDuration(c.arrived)
-		header := c.writer.Header()
-		for name, values := range c.Codec.ClientHeader(response.Header) {
-			header[name] = values
-		}
-		c.writer.WriteHeader(http.StatusOK)
+		c.startResponse(http.StatusOK, c.Codec.ClientHeader(response.Header))
 	}
 	if _, err := c.writer.Write(complete); err != nil {
 		return err
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -37,6 +37,8 @@
 	// checkJitter spreads the checks of daemons that start or lose their zone reader
 	// at the same time, so that later ones find the record of the first.
 	checkJitter = 2 * time.Second
+	// maxMessageBytes bounds a message from another daemon.
+	maxMessageBytes = 1 << 20
 	// checkTimeout bounds one check for the zone reader in the log.
 	checkTimeout = 1500 * time.Millisecond
 	// idleCheckInterval is the time without a request after which the zone reader
@@ -114,7 +116,7 @@
 
 // Handler returns the path and the handler of the RelayService.
 func (r *Relayer) Handler() (string, http.Handler) {
-	return schemaconnect.NewRelayServiceHandler(&handler{r})
+	return schemaconnect.NewRelayServiceHandler(&handler{r}, connect.WithReadMaxBytes(maxMessageBytes))
 }
 
 // Drain makes the daemon reject requests from other daemons.
@@ -242,7 +244,7 @@
 		r.readerClient = nil
 		reader = r.Self
 	} else if changed {
-		r.readerClient = schemaconnect.NewRelayServiceClient(r.Client, "http://"+reader.Address.String())
+		r.readerClient = schemaconnect.NewRelayServiceClient(r.Client, "http://"+reader.Address.String(), connect.WithReadMaxBytes(maxMessageBytes))
 	}
 	r.reader = reader
 	if changed {
