Promote a version only on evidence that it is no worse

A result was bad only if it took over 4 times a mean that includes uncached prompts of 13,000 tokens; most of the slow ones stayed under it, while two such results of a good version rolled it back. Change: promoter compares each result of a canary with the newest results of the old version on the same route and model; the sums of all daemons decide. Full needs proof, undecided is rolled back in time, with a reason in the log and the status. Replacements that register beside old endpoints no longer count against the new version's capacity (17 instead of 12: good versions were never completed). TestDecide's row 'few results late' demanded the fault; its replacements demand a roll-back without evidence.

--- a/internal/promoter/evidence.go
+++ b/internal/promoter/evidence.go
@@ -59,11 +59,28 @@
 	pending       []connectionFailure
 	otherFailedAt time.Duration
 	otherFailed   bool
+	// balance sums up the speed of good results and the bad results, compared counts
+	// the results in it.
+	balance  Balance
+	compared int
 }
 
 // NewEvidence returns evidence without results.
 func NewEvidence() *Evidence { return &Evidence{sums: map[resultKey]float64{}} }
 
+// AddScore adds a score to the balance of results for and against the version, at a
+// time since the order.
+func (d *Evidence) AddScore(score Score, order Order, at time.Duration) {
+	d.balance.add(score, order, at)
+	d.compared++
+}
+
+// Balance returns the balance of this daemon's results.
+func (d *Evidence) Balance() Balance { return d.balance }
+
+// Compared returns the number of results in the balance.
+func (d *Evidence) Compared() int { return d.compared }
+
 // Add records a result of an endpoint on a route.
 func (d *Evidence) Add(endpoint, route string, good bool) {
 	d.results++
@@ -93,8 +110,8 @@
 }
 
 // SettleConnectionFailures counts as bad results the connection failures that
-// no failure of another version explains. It reports whether there were any.
-func (d *Evidence) SettleConnectionFailures(now time.Duration) bool {
+// no failure of another version explains. It returns their number.
+func (d *Evidence) SettleConnectionFailures(now time.Duration) int {
 	before := d.bad
 	var waiting []connectionFailure
 	for _, l := range d.pending {
@@ -106,7 +123,7 @@
 		}
 	}
 	d.pending = waiting
-	return d.bad > before
+	return d.bad - before
 }
 
 // Results returns the number of results.
--- a/internal/promoter/promoter.go
+++ b/internal/promoter/promoter.go
@@ -54,6 +54,8 @@
 	Share float64
 	// FirstSeen is the wall-clock time at which a daemon first saw the order.
 	FirstSeen time.Time
+	// Reason says why a rollout was rolled back. It is empty in other states.
+	Reason string
 }
 
 // StateOf returns the state of an order. It is Waiting if the status belongs to
@@ -85,11 +87,10 @@
 	// minCapacity is the least ratio of new to old endpoints for sending all
 	// requests to the new version.
 	minCapacity = 0.5
-	// minResults is the number of this daemon's results of the new version before it
-	// proposes to send all requests there.
-	minResults = 5
-	// fewResultsAt is the share of the duration after which fewer results suffice.
-	fewResultsAt = 0.8
+	// settleTime is the least time between the full and the completed state, and
+	// writeTime what the write of a state may take.
+	settleTime = 1200 * time.Millisecond
+	writeTime  = time.Second
 	// pinUntil is the share of the duration until which a session on the old version
 	// stays there.
 	pinUntil = 0.5
@@ -153,12 +154,16 @@
 	// and the new version.
 	OldEndpoints int
 	NewEndpoints int
-	// Results is the number of this daemon's results of the new version.
-	Results int
+	// Balance is the sum of all daemons' results of the new version. Stale is set if
+	// results of other daemons may be missing.
+	Balance Score
+	Stale   bool
 }
 
-// Decide returns the state that the rollout should be in, which is the current
-// one when nothing should change.
+// Decide returns the state that the rollout should be in, which is the current one
+// when nothing should change. A canary becomes full only on evidence that the new
+// version is no worse. Without it the rollout is rolled back while the old version
+// still serves.
 func Decide(v View) State {
 	if v.State.Final() {
 		return v.State
@@ -170,8 +175,13 @@
 	case Waiting:
 		return Canary
 	case Canary:
-		if v.readyForFull() {
+		switch {
+		case v.Balance.IsWorse():
+			return RolledBack
+		case v.readyForFull():
 			return Full
+		case v.undecided():
+			return RolledBack
 		}
 	case Full:
 		if v.drained() {
@@ -182,20 +192,42 @@
 	return v.State
 }
 
+// Reason says in a few words why a rollout in this view is rolled back.
+func (v View) Reason() string {
+	switch {
+	case v.Worse:
+		return "results show failures"
+	case v.Balance.IsWorse():
+		return "results are worse than those of the old version"
+	default:
+		return "undecided: too little evidence for the new version, or too few endpoints of it"
+	}
+}
+
 // readyForFull reports whether all requests may go to the new version.
 func (v View) readyForFull() bool {
 	if v.NewEndpoints == 0 || float64(v.NewEndpoints) < minCapacity*float64(v.OldEndpoints) || v.Elapsed < v.durationShare(fullAt) {
 		return false
 	}
-	return v.Results >= minResults || v.Elapsed >= v.durationShare(fewResultsAt)
+	return v.Balance.proven() && !v.Stale && !v.undecided()
+}
+
+// undecided reports whether it is too late for the full state, because the rollout
+// could not be completed in time any more.
+func (v View) undecided() bool {
+	return v.Elapsed >= v.Order.Duration-completeMargin-v.settleTime()-writeTime
+}
+
+// settleTime returns the least time between the full and the completed state.
+func (v View) settleTime() time.Duration {
+	return min(v.durationShare(completeAt-fullAt)/2, settleTime)
 }
 
 // drained reports whether the old version has had the time to finish its streams
 // and may be stopped.
 func (v View) drained() bool {
 	due := min(v.durationShare(completeAt), v.Order.Duration-completeMargin)
-	settled := v.TimeInState >= min(v.durationShare(completeAt-fullAt)/2, completeMargin)
-	return v.Elapsed >= due && settled
+	return v.Elapsed >= due && v.TimeInState >= v.settleTime()
 }
 
 func (v View) durationShare(share float64) time.Duration {
--- a/internal/promoter/promoter_test.go
+++ b/internal/promoter/promoter_test.go
@@ -20,19 +20,37 @@
 	}{
 		"starts at once": {promoter.View{State: promoter.Waiting}, promoter.Canary},
 		"stays a canary before the time of the full state": {
-			promoter.View{State: promoter.Canary, Elapsed: 16 * time.Second, OldEndpoints: 12, NewEndpoints: 12, Results: 50}, promoter.Canary,
+			promoter.View{State: promoter.Canary, Elapsed: 16 * time.Second, OldEndpoints: 12, NewEndpoints: 12, Balance: promoter.Score{TTFT: -9}}, promoter.Canary,
 		},
 		"becomes full": {
-			promoter.View{State: promoter.Canary, Elapsed: 17 * time.Second, OldEndpoints: 12, NewEndpoints: 12, Results: 50}, promoter.Full,
+			promoter.View{State: promoter.Canary, Elapsed: 17 * time.Second, OldEndpoints: 12, NewEndpoints: 12, Balance: promoter.Score{TTFT: -9}}, promoter.Full,
 		},
 		"too few new endpoints": {
-			promoter.View{State: promoter.Canary, Elapsed: 23 * time.Second, OldEndpoints: 12, NewEndpoints: 5, Results: 50}, promoter.Canary,
+			promoter.View{State: promoter.Canary, Elapsed: 18 * time.Second, OldEndpoints: 12, NewEndpoints: 5, Balance: promoter.Score{TTFT: -9}}, promoter.Canary,
 		},
-		"too few results": {
-			promoter.View{State: promoter.Canary, Elapsed: 17 * time.Second, OldEndpoints: 12, NewEndpoints: 12, Results: 4}, promoter.Canary,
+		"too few new endpoints until it is too late": {
+			promoter.View{State: promoter.Canary, Elapsed: 22 * time.Second, OldEndpoints: 12, NewEndpoints: 5, Balance: promoter.Score{TTFT: -9}}, promoter.RolledBack,
 		},
-		"few results late in the rollout": {
-			promoter.View{State: promoter.Canary, Elapsed: 20 * time.Second, OldEndpoints: 12, NewEndpoints: 12, Results: 0}, promoter.Full,
+		"no evidence yet": {
+			promoter.View{State: promoter.Canary, Elapsed: 18 * time.Second, OldEndpoints: 12, NewEndpoints: 12}, promoter.Canary,
+		},
+		"no evidence until it is too late": {
+			promoter.View{State: promoter.Canary, Elapsed: 21 * time.Second, OldEndpoints: 12, NewEndpoints: 12}, promoter.RolledBack,
+		},
+		"results of other daemons may be missing": {
+			promoter.View{State: promoter.Canary, Elapsed: 18 * time.Second, OldEndpoints: 12, NewEndpoints: 12, Balance: promoter.Score{TTFT: -9}, Stale: true}, promoter.Canary,
+		},
+		"slower than the old version": {
+			promoter.View{State: promoter.Canary, Elapsed: 5 * time.Second, OldEndpoints: 12, NewEndpoints: 12, Balance: promoter.Score{TTFT: 7}}, promoter.RolledBack,
+		},
+		"slower decoding": {
+			promoter.View{State: promoter.Canary, Elapsed: 5 * time.Second, OldEndpoints: 12, NewEndpoints: 12, Balance: promoter.Score{TTFT: -9, Pace: 13}}, promoter.RolledBack,
+		},
+		"doubts about decoding": {
+			promoter.View{State: promoter.Canary, Elapsed: 18 * time.Second, OldEndpoints: 12, NewEndpoints: 12, Balance: promoter.Score{TTFT: -9, Pace: 4}}, promoter.Canary,
+		},
+		"slow with cold caches once full": {
+			promoter.View{State: promoter.Full, Elapsed: 18 * time.Second, TimeInState: time.Second, Balance: promoter.Score{TTFT: 7}}, promoter.Full,
 		},
 		"the old version finishes its streams": {
 			promoter.View{State: promoter.Full, Elapsed: 20 * time.Second, TimeInState: 3 * time.Second}, promoter.Full,
--- /dev/null
+++ b/internal/promoter/speed.go
@@ -0,0 +1,178 @@
+package promoter
+
+import (
+	"math"
+	"slices"
+	"time"
+)
+
+// Timing is how fast one response was.
+type Timing struct {
+	// TTFT is the time to first token, ExpectedTTFT the time that the endpoint's
+	// backlog and the prompt explain. DecodePace is the time per event after that, or
+	// 0 if it is unknown.
+	TTFT         time.Duration
+	ExpectedTTFT time.Duration
+	DecodePace   time.Duration
+}
+
+// expectedTTFTFloor is added to the expected time before the two are compared, so
+// that small differences of very short times do not count.
+const expectedTTFTFloor = 50 * time.Millisecond
+
+// slowdown returns the ratio of the time to first token to the expected one.
+func (t Timing) slowdown() float64 {
+	return float64(t.TTFT) / float64(t.ExpectedTTFT+expectedTTFTFloor)
+}
+
+// A score is the log-likelihood ratio of a time under a slower version against one
+// as fast as the old version. Of the old version's times, half are up to the median
+// and a quarter above the upper quartile. Of a slower version's times, a fifth are
+// assumed to be up to the old median and 55% above the old upper quartile.
+var (
+	fastScore = math.Log(0.20 / 0.50)
+	slowScore = math.Log(0.55 / 0.25)
+)
+
+const (
+	// baselineSize is the number of the newest times that a baseline keeps, and
+	// minBaselineSize the number that it needs for a comparison.
+	baselineSize    = 64
+	minBaselineSize = 5
+	// median and upperQuartile are the quantiles that separate the scores.
+	median        = 0.5
+	upperQuartile = 0.75
+)
+
+// samples holds the newest values of one measure.
+type samples struct {
+	values []float64
+	next   int
+}
+
+func (s *samples) add(value float64) {
+	if len(s.values) < baselineSize {
+		s.values = append(s.values, value)
+		return
+	}
+	s.values[s.next] = value
+	s.next = (s.next + 1) % baselineSize
+}
+
+// score returns the score of a value. It returns false if there are too few samples.
+func (s *samples) score(value float64) (score float64, ok bool) {
+	if len(s.values) < minBaselineSize {
+		return 0, false
+	}
+	sorted := slices.Sorted(slices.Values(s.values))
+	quantile := func(share float64) float64 { return sorted[int(share*float64(len(sorted)))] }
+	switch {
+	case value <= quantile(median):
+		return fastScore, true
+	case value > quantile(upperQuartile):
+		return slowScore, true
+	default:
+		return 0, true
+	}
+}
+
+// Baseline holds the newest times of the old version's responses on one route with
+// one model. The zero value is empty. It is not safe for concurrent use.
+type Baseline struct {
+	ttft, slowdown, pace samples
+}
+
+// Add records a response of the old version.
+func (b *Baseline) Add(timing Timing) {
+	b.ttft.add(float64(timing.TTFT))
+	b.slowdown.add(timing.slowdown())
+	if timing.DecodePace > 0 {
+		b.pace.add(float64(timing.DecodePace))
+	}
+}
+
+// Score compares a response of the new version with those of the old one. It returns
+// false if there are too few to compare with. The time to first token is slow only if it
+// is slow both by itself and relative to the expected one: a cold cache explains the
+// first, an imprecise prediction the second.
+func (b *Baseline) Score(timing Timing) (score Score, ok bool) {
+	ttftScore, ok := b.ttft.score(float64(timing.TTFT))
+	if !ok {
+		return Score{}, false
+	}
+	slowdownScore, _ := b.slowdown.score(timing.slowdown())
+	score.TTFT = min(ttftScore, slowdownScore)
+	if timing.DecodePace > 0 {
+		score.Pace, _ = b.pace.score(float64(timing.DecodePace))
+	}
+	return score, true
+}
+
+// Score says how much one result, or a sum of results, speaks against the new version.
+// Negative values speak for it. A version may be slow in one of the two only.
+type Score struct {
+	// TTFT is about the time to first token and about failures, Pace about the time
+	// per event after that.
+	TTFT float64
+	Pace float64
+}
+
+// BadResult is the score of a failed result.
+var BadResult = Score{TTFT: math.Log(faultyBadRate / healthyBadRate)}
+
+const (
+	// provenTTFT and provenPace are the sums at which the new version counts as no
+	// worse. Some responses have no pace, so the second needs no evidence.
+	provenTTFT = -1
+	provenPace = 2
+	// worseTTFT and worsePace are the sums at which it counts as worse. The pace
+	// depends more on what else an endpoint does.
+	worseTTFT = 6
+	worsePace = 12
+)
+
+// IsWorse reports whether a sum shows that the new version is worse.
+func (s Score) IsWorse() bool { return s.TTFT >= worseTTFT || s.Pace >= worsePace }
+
+// proven reports whether a sum shows that the new version is no worse.
+func (s Score) proven() bool { return s.TTFT <= provenTTFT && s.Pace <= provenPace }
+
+// Balance is a sum of scores in which older ones lose weight, so that a version that
+// turns bad late is noticed. Times are those since the order.
+type Balance struct {
+	Sum Score
+	// At is the time of the newest score.
+	At time.Duration
+}
+
+// balanceHalfLife is the time after which a score counts half, as a share of the
+// order's duration.
+const balanceHalfLife = 0.5
+
+// add adds a score at a time.
+func (b *Balance) add(score Score, order Order, at time.Duration) {
+	sum := b.value(order, at)
+	b.Sum = Score{TTFT: sum.TTFT + score.TTFT, Pace: sum.Pace + score.Pace}
+	b.At = max(b.At, at)
+}
+
+// value returns the sum at a time.
+func (b Balance) value(order Order, at time.Duration) Score {
+	halfLives := float64(at-b.At) / (balanceHalfLife * float64(order.Duration))
+	if halfLives <= 0 || math.IsNaN(halfLives) {
+		return b.Sum
+	}
+	weight := math.Exp2(-halfLives)
+	return Score{TTFT: weight * b.Sum.TTFT, Pace: weight * b.Sum.Pace}
+}
+
+// SumBalances returns the sum of the balances of all daemons at a time.
+func SumBalances(order Order, at time.Duration, balances ...Balance) Score {
+	var sum Score
+	for _, balance := range balances {
+		value := balance.value(order, at)
+		sum.TTFT += value.TTFT
+		sum.Pace += value.Pace
+	}
+	return sum
+}
--- /dev/null
+++ b/internal/promoter/speed_test.go
@@ -0,0 +1,135 @@
+package promoter_test
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"quetzalgrade.example/quetzalgrade/internal/promoter"
+)
+
+// trial simulates a canary of 24 s with results at a rate, spread over daemons, and
+// returns the state in which it ends. slowdown multiplies the times of the new
+// version's results from slowFrom on, coldShare of which wait for a cold cache.
+type trial struct {
+	rate      float64
+	slowShare float64
+	slowFrom  time.Duration
+	coldShare float64
+	// ttftOnly and paceOnly limit the slowness to one of the two times.
+	ttftOnly, paceOnly bool
+}
+
+// times of the old version: a cached prompt, and one that must be prefilled.
+const (
+	cachedTTFT  = 60 * time.Millisecond
+	prefillTTFT = 400 * time.Millisecond
+	missShare   = 0.2
+	slowFactor  = 8
+)
+
+func randomTiming(random *rand.Rand, misses float64) promoter.Timing {
+	expected := cachedTTFT
+	if random.Float64() < misses {
+		expected = prefillTTFT
+	}
+	jitter := func(d time.Duration) time.Duration {
+		return time.Duration(float64(d) * (0.5 + random.ExpFloat64()))
+	}
+	return promoter.Timing{TTFT: jitter(expected), ExpectedTTFT: expected, DecodePace: jitter(20 * time.Millisecond)}
+}
+
+func (tr trial) run(random *rand.Rand) promoter.State {
+	const daemons = 8
+	var baselines [daemons]promoter.Baseline
+	var evidence [daemons]*promoter.Evidence
+	for i := range daemons {
+		evidence[i] = promoter.NewEvidence()
+		for range 30 {
+			baselines[i].Add(randomTiming(random, missShare))
+		}
+	}
+	const step = 100 * time.Millisecond
+	for at := time.Duration(0); at < order.Duration; at += step {
+		var balances []promoter.Balance
+		for i, daemon := range evidence {
+			if random.Float64() < tr.rate*step.Seconds()/daemons {
+				timing := randomTiming(random, max(missShare, tr.coldShare))
+				if at >= tr.slowFrom && random.Float64() < tr.slowShare {
+					if !tr.paceOnly {
+						timing.TTFT *= slowFactor
+					}
+					if !tr.ttftOnly {
+						timing.DecodePace *= slowFactor
+					}
+				}
+				if score, ok := baselines[i].Score(timing); ok {
+					daemon.AddScore(score, order, at)
+				}
+			}
+			balances = append(balances, daemon.Balance())
+		}
+		view := promoter.View{Order: order, State: promoter.Canary, Elapsed: at, OldEndpoints: 8, NewEndpoints: 8,
+			Balance: promoter.SumBalances(order, at, balances...)}
+		if state := promoter.Decide(view); state != promoter.Canary {
+			return state
+		}
+	}
+	return promoter.Canary
+}
+
+// TestErrorRatesOfCanary bounds how often a canary ends with the wrong state, by
+// simulation: a slow version must be promoted in at most 1 of 1,000, and a good one
+// rolled back in at most 1 of 20.
+func TestErrorRatesOfCanary(t *testing.T) {
+	const runs = 1000
+	rows := map[string]struct {
+		trial trial
+		want  promoter.State
+		// maxWrong is the largest number of runs that may end otherwise.
+		maxWrong int
+	}{
+		"good":                            {trial{rate: 3}, promoter.Full, runs / 20},
+		"good with few results":           {trial{rate: 1.2}, promoter.Full, runs / 20},
+		"good with cold caches":           {trial{rate: 3, coldShare: 0.4}, promoter.Full, runs / 20},
+		"slow":                            {trial{rate: 3, slowShare: 1}, promoter.RolledBack, runs / 1000},
+		"half of the results slow":        {trial{rate: 3, slowShare: 0.5}, promoter.RolledBack, runs / 20},
+		"slow, few results":               {trial{rate: 0.6, slowShare: 1}, promoter.RolledBack, runs / 1000},
+		"slow from the canary's half on":  {trial{rate: 3, slowShare: 1, slowFrom: 8 * time.Second}, promoter.RolledBack, runs / 1000},
+		"slow before the first token":     {trial{rate: 3, slowShare: 1, ttftOnly: true}, promoter.RolledBack, runs / 1000},
+		"slow after the first token":      {trial{rate: 3, slowShare: 1, paceOnly: true}, promoter.RolledBack, runs / 1000},
+		"no results":                      {trial{}, promoter.RolledBack, 0},
+		"a result every four seconds":     {trial{rate: 0.25, slowShare: 1}, promoter.RolledBack, runs / 1000},
+		"slow with many results at first": {trial{rate: 20, slowShare: 1}, promoter.RolledBack, 0},
+	}
+	for name, row := range rows {
+		t.Run(name, func(t *testing.T) {
+			random := rand.New(rand.NewPCG(1, 2))
+			wrong := 0
+			for range runs {
+				if row.trial.run(random) != row.want {
+					wrong++
+				}
+			}
+			t.Logf("%d of %d end otherwise", wrong, runs)
+			if wrong > row.maxWrong {
+				t.Errorf("canaries that end otherwise than %s got %d of %d, want at most %d", row.want, wrong, runs, row.maxWrong)
+			}
+		})
+	}
+}
+
+// TestScoreNeedsBaseline guards against a version that counts as fast because there
+// is nothing to compare it with.
+func TestScoreNeedsBaseline(t *testing.T) {
+	baseline := &promoter.Baseline{}
+	for i := range 5 {
+		if _, ok := baseline.Score(promoter.Timing{TTFT: time.Millisecond}); ok {
+			t.Errorf("Score() with %d times got ok, want none", i)
+		}
+		baseline.Add(promoter.Timing{TTFT: time.Second})
+	}
+	if score, ok := baseline.Score(promoter.Timing{TTFT: time.Millisecond}); !ok || score.TTFT >= 0 {
+		t.Errorf("Score() of a fast result got %v, %t, want a negative score", score, ok)
+	}
+}
--- a/internal/runner/baseline.go
+++ b/internal/runner/baseline.go
@@ -1,8 +1,6 @@
 package runner
 
 import (
-	"time"
-
 	"quetzalgrade.example/quetzalgrade/internal/forwarder"
 	"quetzalgrade.example/quetzalgrade/internal/promoter"
 )
@@ -14,50 +12,20 @@
 	model   string
 }
 
-// baseline holds moving averages of the response times of the old version.
-type baseline struct {
-	ttft       time.Duration
-	decodePace time.Duration
-	count      int
-}
-
-const (
-	// baselineSmoothing is the weight of the newest response in the averages.
-	baselineSmoothing = 0.1
-	// minBaselineCount is the number of responses before others are compared with
-	// the baseline.
-	minBaselineCount = 5
-	// A response is slow if a time exceeds slowFactor times its baseline and also
-	// minSlowTTFT or minSlowDecodePace. The time to first token must also exceed
-	// slowFactor times the time that the endpoint's backlog and the prompt explain.
-	slowFactor        = 4
-	minSlowTTFT       = 400 * time.Millisecond
-	minSlowDecodePace = 40 * time.Millisecond
-)
-
-func (b baseline) add(result forwarder.Result) baseline {
-	b.count++
-	b.ttft = smooth(b.ttft, result.TTFT)
-	b.decodePace = smooth(b.decodePace, result.DecodePace)
-	return b
-}
-
-// smooth moves the average towards the value. A zero stands for an unknown time.
-func smooth(average, value time.Duration) time.Duration {
-	if average == 0 || value == 0 {
-		return max(average, value)
+// baseline returns the times of the old version's responses that are comparable with
+// a result.
+func (m *rolloutManager) baseline(result forwarder.Result) *promoter.Baseline {
+	key := baselineKey{result.Service, result.Route, result.Model}
+	baseline := m.baselines[key]
+	if baseline == nil {
+		baseline = &promoter.Baseline{}
+		m.baselines[key] = baseline
 	}
-	return average + time.Duration(baselineSmoothing*float64(value-average))
+	return baseline
 }
 
-// isSlow reports whether a result is much slower than the baseline.
-func (b baseline) isSlow(result forwarder.Result) bool {
-	if b.count < minBaselineCount {
-		return false
-	}
-	slowTTFT := b.ttft > 0 && result.TTFT > max(minSlowTTFT, slowFactor*b.ttft, slowFactor*result.ExpectedTTFT)
-	slowDecodePace := b.decodePace > 0 && result.DecodePace > max(minSlowDecodePace, slowFactor*b.decodePace)
-	return slowTTFT || slowDecodePace
+func newTiming(result forwarder.Result) promoter.Timing {
+	return promoter.Timing{TTFT: result.TTFT, ExpectedTTFT: result.ExpectedTTFT, DecodePace: result.DecodePace}
 }
 
 // recordResult records a result as evidence, or in the baseline if it is not from
@@ -70,22 +38,30 @@
 		m.recordOldVersionResult(rollout, result)
 		return
 	}
-	good := result.Outcome == forwarder.Completed
 	switch result.Outcome {
 	case forwarder.NotSent:
-		return
 	case forwarder.Incomplete:
 		rollout.evidence.AddConnectionFailure(result.Endpoint, result.Route, m.deps.Clock())
-		return
-	case forwarder.Completed, forwarder.ServerError:
+	case forwarder.Completed:
+		rollout.evidence.Add(result.Endpoint, result.Route, true)
+		m.recordSpeed(rollout, result)
+	case forwarder.ServerError:
+		rollout.evidence.Add(result.Endpoint, result.Route, false)
+		rollout.evidence.AddScore(promoter.BadResult, rollout.order, m.elapsed(rollout))
+		m.evaluate(rollout)
 	}
-	if rollout.state == promoter.Canary {
-		// When all requests move to the new version at once, its endpoints have no cached
-		// prefixes yet. Responses are then slow for a while even if the version is good.
-		good = good && !m.baselines[newBaselineKey(result)].isSlow(result)
+}
+
+// recordSpeed compares a response of the new version with the old one. It does so
+// only in a canary: when all requests move to the new version at once, its endpoints
+// have no cached prefixes yet, and responses are slow for a while even if the version
+// is good.
+func (m *rolloutManager) recordSpeed(rollout *rolloutState, result forwarder.Result) {
+	if rollout.state != promoter.Canary {
+		return
 	}
-	rollout.evidence.Add(result.Endpoint, result.Route, good)
-	if !good {
+	if score, ok := m.baseline(result).Score(newTiming(result)); ok {
+		rollout.evidence.AddScore(score, rollout.order, m.elapsed(rollout))
 		m.evaluate(rollout)
 	}
 }
@@ -96,8 +72,7 @@
 func (m *rolloutManager) recordOldVersionResult(rollout *rolloutState, result forwarder.Result) {
 	switch result.Outcome {
 	case forwarder.Completed:
-		key := newBaselineKey(result)
-		m.baselines[key] = m.baselines[key].add(result)
+		m.baseline(result).Add(newTiming(result))
 	case forwarder.Incomplete, forwarder.NotSent:
 		if rollout != nil {
 			rollout.evidence.AddOtherConnectionFailure(m.deps.Clock())
@@ -105,7 +80,3 @@
 	case forwarder.ServerError:
 	}
 }
-
-func newBaselineKey(result forwarder.Result) baselineKey {
-	return baselineKey{result.Service, result.Route, result.Model}
-}
--- a/internal/runner/progress.go
+++ b/internal/runner/progress.go
@@ -7,7 +7,9 @@
 
 	"github.com/go-faster/errors"
 	"google.golang.org/protobuf/proto"
+	"google.golang.org/protobuf/types/known/durationpb"
 
+	"quetzalgrade.example/quetzalgrade/internal/noter"
 	"quetzalgrade.example/quetzalgrade/internal/promoter"
 	"quetzalgrade.example/quetzalgrade/internal/subscriber"
 	"quetzalgrade.example/quetzalgrade/pkg/schema"
@@ -35,7 +37,8 @@
 		if rollout.state.Final() {
 			continue
 		}
-		if rollout.evidence.SettleConnectionFailures(now) {
+		for range rollout.evidence.SettleConnectionFailures(now) {
+			rollout.evidence.AddScore(promoter.BadResult, rollout.order, m.elapsed(rollout))
 			m.evaluate(rollout)
 		}
 		if report := m.reportWrite(rollout, now); report != nil {
@@ -50,8 +53,8 @@
 
 // reportWrite returns a write of this daemon's report on a rollout, or nil if
 // none is due. A report is due when a report interval begins and the number of bad
-// results has changed, and once to list the sessions on the old version if there
-// are any.
+// results has changed, every few intervals if that of compared results has, and once
+// to list the sessions on the old version if there are any.
 func (m *rolloutManager) reportWrite(rollout *rolloutState, now time.Duration) func(context.Context) error {
 	listSessions := !rollout.sessionsListed && promoter.ShouldListSessions(rollout.state, now-rollout.stateEntered)
 	if listSessions {
@@ -62,16 +65,22 @@
 	interval := int64((now - rollout.stateEntered) / reportInterval)
 	due := interval != rollout.lastReportInterval
 	rollout.lastReportInterval = interval
-	evidenceGrown := due && rollout.evidence.Bad() != rollout.reportedBad
+	evidenceGrown := due && (rollout.evidence.Bad() != rollout.reportedBad ||
+		interval%speedReportIntervals == 0 && rollout.evidence.Compared() != rollout.reportedCompared)
 	if !evidenceGrown && (!listSessions || len(rollout.oldVersionSessions) == 0) {
 		return nil
 	}
 	rollout.reportedBad = rollout.evidence.Bad()
+	rollout.reportedCompared = rollout.evidence.Compared()
+	balance := rollout.evidence.Balance()
 	report := &schema.RolloutReport{
 		Service:  rollout.order.Service,
 		Order:    rollout.order.Offset,
 		Doubts:   evidence,
 		Sessions: rollout.oldVersionSessions,
+		Ttft:     balance.Sum.TTFT,
+		Pace:     balance.Sum.Pace,
+		At:       durationpb.New(balance.At),
 	}
 	return func(ctx context.Context) error {
 		ctx, cancel := context.WithTimeout(ctx, writeTimeout)
@@ -93,20 +102,26 @@
 	for _, count := range versions {
 		oldEndpoints += count
 	}
+	if rollout.initialOldEndpoints == 0 {
+		rollout.initialOldEndpoints = oldEndpoints
+	}
 	if _, verified := m.statusTopic.VerifiedAge(); !verified {
 		// The states that other daemons have written are not known yet.
 		return nil
 	}
-	next := promoter.Decide(promoter.View{
-		Order:        rollout.order,
-		State:        rollout.state,
-		Elapsed:      now - rollout.firstSeen,
-		TimeInState:  now - rollout.stateEntered,
-		Worse:        rollout.worse,
-		OldEndpoints: oldEndpoints,
+	view := promoter.View{
+		Order:       rollout.order,
+		State:       rollout.state,
+		Elapsed:     now - rollout.firstSeen,
+		TimeInState: now - rollout.stateEntered,
+		Worse:       rollout.worse,
+		// Endpoints that replace others may be counted beside them for a while.
+		OldEndpoints: min(oldEndpoints, rollout.initialOldEndpoints),
 		NewEndpoints: newEndpoints,
-		Results:      rollout.evidence.Results(),
-	})
+		Balance:      m.pooledBalance(rollout),
+		Stale:        m.isStale(m.resultsTopic),
+	}
+	next := promoter.Decide(view)
 	if next == rollout.state {
 		return nil
 	}
@@ -124,13 +139,6 @@
 	if rollout.state == promoter.Waiting {
 		share = promoter.CanaryShare(oldEndpoints, m.settings.Load().ExposureShare)
 	}
-	return m.statusWrite(rollout, next, share, now)
-}
-
-// statusWrite returns a write of a state. The append is conditional on the
-// topic's end, so that only one of the daemons writes the state. A conflict is
-// not an error: another daemon has written first.
-func (m *rolloutManager) statusWrite(rollout *rolloutState, next promoter.State, share float64, now time.Duration) func(context.Context) error {
 	status := promoter.Status{
 		Service:     rollout.order.Service,
 		Target:      rollout.order.Target,
@@ -139,6 +147,18 @@
 		Share:       share,
 		FirstSeen:   time.Now().Add(rollout.firstSeen - now),
 	}
+	if next == promoter.RolledBack {
+		status.Reason = view.Reason()
+		m.logger.Warn("rolling back", "service", status.Service, "target", status.Target, "reason", status.Reason,
+			"ttft_balance", view.Balance.TTFT, "pace_balance", view.Balance.Pace, "elapsed", noter.FormatDuration(view.Elapsed), "old_endpoints", oldEndpoints, "new_endpoints", newEndpoints)
+	}
+	return m.statusWrite(status)
+}
+
+// statusWrite returns a write of a state. The append is conditional on the
+// topic's end, so that only one of the daemons writes the state. A conflict is
+// not an error: another daemon has written first.
+func (m *rolloutManager) statusWrite(status promoter.Status) func(context.Context) error {
 	offset := m.statusTopic.NextOffset()
 	return func(ctx context.Context) error {
 		ctx, cancel := context.WithTimeout(ctx, writeTimeout)
--- a/internal/runner/rollouts.go
+++ b/internal/runner/rollouts.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -22,6 +24,9 @@
 	// beginning of the state, so that the reports of all daemons arrive together and
 	// share a read.
 	reportInterval = 1500 * time.Millisecond
+	// speedReportIntervals is the number of report intervals between two reports
+	// without new bad results.
+	speedReportIntervals = 2
 	// writeJitter spreads the daemons' attempts to write the same state.
 	writeJitter = time.Second
 	// resultsBatchDelay is the pause after a read that returned reports.
@@ -41,19 +46,25 @@
 	order  promoter.Order
 	state  promoter.State
 	status promoter.Status
+	// initialOldEndpoints is the number of endpoints of the old version when this daemon
+	// first counted them.
+	initialOldEndpoints int
 	// firstSeen is when the order was first seen, and stateEntered when the state
 	// was, by the daemon's clock.
 	firstSeen    time.Duration
 	stateEntered time.Duration
 	evidence     *promoter.Evidence
-	// reportedBad is the number of bad results in the latest report.
-	reportedBad int
+	// reportedBad and reportedCompared are the numbers of bad and of compared results
+	// in the latest report.
+	reportedBad      int
+	reportedCompared int
 	// lastReportInterval is the number of report intervals that had passed in the
 	// state at the latest check.
 	lastReportInterval int64
 	// peerEvidence is the evidence of the other daemons by endpoint, by the key of
-	// their reports.
+	// their reports, and peerBalances the balance of their results.
 	peerEvidence map[string]map[string]float64
+	peerBalances map[string]promoter.Balance
 	// sessionsListed is set once this daemon has listed its sessions on the old
 	// version. oldVersionSessions are the digests of these sessions, and
 	// peerOldVersionSessions those that other daemons have reported.
@@ -85,7 +96,7 @@
 	currentVersions map[string]string
 	statuses        map[string]promoter.Status
 	sessions        *promoter.Sessions
-	baselines       map[baselineKey]baseline
+	baselines       map[baselineKey]*promoter.Baseline
 }
 
 // newRolloutManager returns a manager without rollouts.
@@ -98,7 +109,7 @@
 		currentVersions: map[string]string{},
 		statuses:        map[string]promoter.Status{},
 		sessions:        promoter.NewSessions(r.settings.Load().SessionTimeout),
-		baselines:       map[baselineKey]baseline{},
+		baselines:       map[baselineKey]*promoter.Baseline{},
 	}
 	m.statusTopic = subscriber.New("status", r.deps.StatusTopic, subscriber.ReadTiming{Wait: rolloutReadWait, ConfirmAfter: confirmAfter}, r.deps.Clock, m.applyStatuses, r.logger)
 	m.resultsTopic = subscriber.New("results", r.deps.ResultsTopic, subscriber.ReadTiming{Wait: rolloutReadWait, BatchDelay: resultsBatchDelay, ConfirmAfter: confirmAfter}, r.deps.Clock, m.applyReports, r.logger)
@@ -121,6 +132,7 @@
 		stateEntered:           now,
 		evidence:               promoter.NewEvidence(),
 		peerEvidence:           map[string]map[string]float64{},
+		peerBalances:           map[string]promoter.Balance{},
 		peerOldVersionSessions: map[uint64]bool{},
 	}
 	m.byService[order.Service] = rollout
@@ -199,6 +211,7 @@
 			continue
 		}
 		rollout.peerEvidence[record.Key] = report.GetDoubts()
+		rollout.peerBalances[record.Key] = promoter.Balance{Sum: promoter.Score{TTFT: report.GetTtft(), Pace: report.GetPace()}, At: report.GetAt().AsDuration()}
 		for _, digest := range report.GetSessions() {
 			rollout.peerOldVersionSessions[digest] = true
 		}
@@ -206,8 +219,19 @@
 	}
 }
 
+// elapsed returns the time since the rollout's order was first seen.
+func (m *rolloutManager) elapsed(rollout *rolloutState) time.Duration {
+	return m.deps.Clock() - rollout.firstSeen
+}
+
+// pooledBalance returns the balance of all daemons' results now.
+func (m *rolloutManager) pooledBalance(rollout *rolloutState) promoter.Score {
+	balances := append(slices.Collect(maps.Values(rollout.peerBalances)), rollout.evidence.Balance())
+	return promoter.SumBalances(rollout.order, m.elapsed(rollout), balances...)
+}
+
 // evaluate sets worse if the pooled evidence of all daemons shows that the new
-// version is worse.
+// version is worse: it fails more often or, in a canary, is slower.
 func (m *rolloutManager) evaluate(rollout *rolloutState) {
 	if rollout.worse || rollout.state.Final() {
 		return
@@ -216,10 +240,12 @@
 	for _, report := range rollout.peerEvidence {
 		reports = append(reports, report)
 	}
-	if promoter.IsWorse(reports, m.endpointsInUse(rollout)) {
+	balance := m.pooledBalance(rollout)
+	isSlower := rollout.state == promoter.Canary && balance.IsWorse()
+	if isSlower || promoter.IsWorse(reports, m.endpointsInUse(rollout)) {
 		rollout.worse = true
 		m.logger.Warn("evidence shows that the new version is worse", "service", rollout.order.Service, "target", rollout.order.Target,
-			"doubts", reports, "runs", rollout.evidence.Results(), "elapsed", noter.FormatDuration(m.deps.Clock()-rollout.firstSeen), "results_age", noter.FormatDuration(m.topicAge(m.resultsTopic)))
+			"doubts", reports, "ttft_balance", balance.TTFT, "pace_balance", balance.Pace, "runs", rollout.evidence.Results(), "elapsed", noter.FormatDuration(m.elapsed(rollout)), "results_age", noter.FormatDuration(m.topicAge(m.resultsTopic)))
 	}
 }
 
--- a/internal/runner/versions.go
+++ b/internal/runner/versions.go
@@ -73,7 +73,7 @@
 
 // canMoveSessions reports whether sessions may move to the new version.
 func (m *rolloutManager) canMoveSessions(rollout *rolloutState) bool {
-	return promoter.CanMoveSessions(rollout.order, rollout.state, m.deps.Clock()-rollout.firstSeen)
+	return promoter.CanMoveSessions(rollout.order, rollout.state, m.elapsed(rollout))
 }
 
 // requestStarted records that a session's request has started.
