Share the first reads of a zone, and page through large changes

A claimant serves others from its claim on (in 1 of 300 plays of the test followers found its record first and read the log). The first own read after those of a reader does not wait. States of rollouts are written by zone readers first.

--- a/internal/promoter/promoter.go
+++ b/internal/promoter/promoter.go
@@ -90,7 +90,7 @@
 	// settleTime is the least time between the full and the completed state, and
 	// writeTime what the write of a state may take.
 	settleTime = 1200 * time.Millisecond
-	writeTime  = time.Second
+	writeTime  = 2 * time.Second
 	// pinUntil is the share of the duration until which a session on the old version
 	// stays there.
 	pinUntil = 0.5
--- a/internal/relayer/loads.go
+++ b/internal/relayer/loads.go
@@ -40,14 +40,14 @@
 // updated: a failure of the zone reader is detected by Read.
 func (r *Relayer) exchangeLoads(ctx context.Context) {
 	r.mu.Lock()
-	client, reader := r.readerClient, r.reader
+	reader := r.readerClients
 	r.mu.Unlock()
-	if client == nil {
+	if reader == nil {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, loadExchangeTimeout)
 	defer cancel()
-	response, err := client.Loads(ctx, connect.NewRequest(&schema.LoadsRequest{
+	response, err := reader.relay.Loads(ctx, connect.NewRequest(&schema.LoadsRequest{
 		Zone: r.Zone, Reader: reader.Name, Loads: encodeLoads(r.LoadTracker.DirectLoads()),
 	}))
 	if err != nil {
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -34,9 +34,21 @@
 	responseSlack = 250 * time.Millisecond
 	// maxWait bounds the wait that a client may ask for.
 	maxWait = 5 * time.Second
-	// checkJitter spreads the checks of daemons that start or lose their zone reader
-	// at the same time, so that later ones find the record of the first.
+	// startJitter spreads the first checks of daemons that start at the same time, so
+	// that later ones find the record of the first.
+	startJitter = 150 * time.Millisecond
+	// failureJitter spreads the checks of daemons that notice at once that their zone
+	// reader has failed, and roleWait is how long their reads, and those of a daemon that
+	// starts, wait for a check. The view of such daemons is recent.
+	failureJitter = 300 * time.Millisecond
+	roleWait      = 700 * time.Millisecond
+	// checkJitter spreads the checks of daemons that lose their zone reader at the same
+	// time, so that later ones find the record of the first.
 	checkJitter = 2 * time.Second
+	// maxClaims bounds the claims of the reader role in one check, claimJitter the pause
+	// after one that conflicted with another zone's.
+	maxClaims   = 5
+	claimJitter = 50 * time.Millisecond
 	// maxMessageBytes bounds a message from another daemon.
 	maxMessageBytes = 1 << 20
 	// checkTimeout bounds one check for the zone reader in the log.
@@ -84,6 +96,8 @@
 type Relayer struct {
 	Options
 	topics map[string]*subscriber.Subscriber
+	// snapshots holds the encoded snapshot of each topic.
+	snapshots map[string]*snapshotCache
 	// readerFailed signals that the zone reader has failed.
 	readerFailed chan struct{}
 	draining     atomic.Bool
@@ -94,7 +108,11 @@
 	reader ZoneReader
 	// failedReader is the zone reader that failed last.
 	failedReader ZoneReader
-	readerClient schemaconnect.RelayServiceClient
+	// readerClients is nil unless this daemon follows a zone reader.
+	readerClients *readerClients
+	// decided is closed when this daemon has checked for the zone reader, after its start
+	// and after each failure that it noticed at once.
+	decided chan struct{}
 	// lastRequest is when another daemon last sent a request, or when this daemon
 	// took its role if that was later.
 	lastRequest time.Duration
@@ -102,7 +120,13 @@
 
 // New returns a relayer in the role Alone.
 func New(options Options) *Relayer {
-	return &Relayer{Options: options, topics: map[string]*subscriber.Subscriber{}, readerFailed: make(chan struct{}, 1)}
+	return &Relayer{
+		Options:      options,
+		topics:       map[string]*subscriber.Subscriber{},
+		snapshots:    map[string]*snapshotCache{},
+		readerFailed: make(chan struct{}, 1),
+		decided:      make(chan struct{}),
+	}
 }
 
 // ShareTopics makes the topics' subscribers read from the zone reader first, and
@@ -111,40 +135,105 @@
 	for _, topic := range topics {
 		topic.SetPeer(r)
 		r.topics[topic.Name()] = topic
+		r.snapshots[topic.Name()] = newSnapshotCache()
 	}
 }
 
-// Handler returns the path and the handler of the RelayService.
-func (r *Relayer) Handler() (string, http.Handler) {
-	return schemaconnect.NewRelayServiceHandler(&handler{r}, connect.WithReadMaxBytes(maxMessageBytes))
+// Handler returns the handler of requests from other daemons.
+func (r *Relayer) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle(schemaconnect.NewRelayServiceHandler(&handler{r}, connect.WithReadMaxBytes(maxMessageBytes)))
+	// Snapshots are compressed already.
+	mux.Handle(schemaconnect.NewSnapshotServiceHandler(&handler{r}, connect.WithReadMaxBytes(maxMessageBytes), connect.WithCompression("gzip", nil, nil)))
+	return mux
 }
 
 // Drain makes the daemon reject requests from other daemons.
 func (r *Relayer) Drain() { r.draining.Store(true) }
 
+// Following reports whether this daemon reads from the zone reader.
+func (r *Relayer) Following() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.role == Following
+}
+
 // RelayedReads returns the number of pages that were read from another daemon.
 func (r *Relayer) RelayedReads() uint64 { return r.relayedReads.Load() }
 
 // Run keeps the daemon's role up to date until ctx ends, and returns the error of
 // ctx.
 func (r *Relayer) Run(ctx context.Context) error {
-	timer := time.NewTimer(time.Duration(rand.Int64N(int64(checkJitter))))
+	sleep(ctx, time.Duration(rand.Int64N(int64(startJitter))))
+	r.checkReader(ctx)
+	r.markDecided()
+	timer := time.NewTimer(r.checkDelay())
 	defer timer.Stop()
 	for {
 		select {
 		case <-timer.C:
 		case <-r.readerFailed:
-			sleep(ctx, time.Duration(rand.Int64N(int64(checkJitter))))
+			sleep(ctx, time.Duration(rand.Int64N(int64(r.failureJitter()))))
 		case <-ctx.Done():
 			return ctx.Err()
 		}
 		if r.checkDue() {
 			r.checkReader(ctx)
 		}
+		r.markDecided()
 		timer.Reset(r.checkDelay())
 	}
 }
 
+// markDecided ends the waits for this daemon's role.
+func (r *Relayer) markDecided() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !r.isDecided() {
+		close(r.decided)
+	}
+}
+
+// isDecided reports whether nobody has to wait for this daemon's role. The caller holds
+// the mutex.
+func (r *Relayer) isDecided() bool {
+	select {
+	case <-r.decided:
+		return true
+	default:
+		return false
+	}
+}
+
+// failureJitter returns the largest pause between a failure of the zone reader and the
+// check for another one. It is short while reads wait for the check.
+func (r *Relayer) failureJitter() time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.isDecided() {
+		return checkJitter
+	}
+	return failureJitter
+}
+
+// awaitRole waits until this daemon has checked for the zone reader, but not longer
+// than roleWait.
+func (r *Relayer) awaitRole(ctx context.Context) {
+	r.mu.Lock()
+	decided := r.decided
+	r.mu.Unlock()
+	select {
+	case <-decided:
+		return
+	default:
+	}
+	select {
+	case <-decided:
+	case <-time.After(roleWait):
+	case <-ctx.Done():
+	}
+}
+
 func sleep(ctx context.Context, pause time.Duration) {
 	select {
 	case <-time.After(pause):
@@ -180,19 +269,39 @@
 func (r *Relayer) checkReader(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, checkTimeout)
 	defer cancel()
-	records, end, err := r.ReaderTopic.Newest(ctx)
-	if err != nil {
-		r.Logger.Debug("cannot read the zone readers from the log", "error", err)
-		return
+	for range maxClaims {
+		records, end, err := r.ReaderTopic.Newest(ctx)
+		if err != nil {
+			r.Logger.Debug("cannot read the zone readers from the log", "error", err)
+			return
+		}
+		reader := r.findReader(records)
+		role := r.chooseRole(reader)
+		if role != Claiming {
+			r.setRole(role, reader)
+			return
+		}
+		// Other daemons may find the record before this daemon gets the response.
+		r.setRole(Claiming, r.Self)
+		err = r.claimReader(ctx, end)
+		if err == nil {
+			r.setRole(Reading, r.Self)
+			return
+		}
+		r.setRole(Alone, r.Self)
+		r.Logger.Debug("claim of the zone reader role failed", "zone", r.Zone, "at", end, "error", err)
+		if !errors.Is(err, subscriber.ErrOffsetConflict) {
+			return
+		}
+		sleep(ctx, time.Duration(rand.Int64N(int64(claimJitter))))
 	}
-	reader := r.findReader(records)
+}
+
+// chooseRole returns the role that this daemon should take.
+func (r *Relayer) chooseRole(reader ZoneReader) Role {
 	r.mu.Lock()
-	role := ChooseRole(RoleInputs{Self: r.Self, Reader: reader, FailedReader: r.failedReader, Draining: r.draining.Load()})
-	r.mu.Unlock()
-	if role == Claiming {
-		role = r.claimReader(ctx, end)
-	}
-	r.setRole(role, reader)
+	defer r.mu.Unlock()
+	return ChooseRole(RoleInputs{Self: r.Self, Reader: reader, FailedReader: r.failedReader, Draining: r.draining.Load()})
 }
 
 // findReader returns the reader of this zone from the records of all zones. It logs
@@ -217,19 +326,14 @@
 	return ZoneReader{}
 }
 
-// claimReader records this daemon as the zone reader unless a record was appended
-// since the topic was read. It returns the resulting role.
-func (r *Relayer) claimReader(ctx context.Context, at int64) Role {
+// claimReader records this daemon as the zone reader. It returns
+// subscriber.ErrOffsetConflict if a record was appended since the topic was read.
+func (r *Relayer) claimReader(ctx context.Context, at int64) error {
 	value, err := proto.Marshal(&schema.Reader{Name: r.Self.Name, Address: r.Self.Address.String()})
 	if err != nil {
-		r.Logger.Error("cannot encode zone reader record", "error", err)
-		return Alone
+		return errors.Wrap(err, "encode zone reader record")
 	}
-	if err := r.ReaderTopic.AppendAt(ctx, r.Zone, value, at); err != nil {
-		r.Logger.Debug("claim of the zone reader role failed", "zone", r.Zone, "at", at, "error", err)
-		return Alone
-	}
-	return Reading
+	return r.ReaderTopic.AppendAt(ctx, r.Zone, value, at)
 }
 
 // setRole sets the daemon's role. A following daemon also gets a client of the
@@ -241,10 +345,10 @@
 	r.role = role
 	r.lastRequest = r.Clock()
 	if role != Following {
-		r.readerClient = nil
+		r.readerClients = nil
 		reader = r.Self
 	} else if changed {
-		r.readerClient = schemaconnect.NewRelayServiceClient(r.Client, "http://"+reader.Address.String(), connect.WithReadMaxBytes(maxMessageBytes))
+		r.readerClients = r.newReaderClients(reader)
 	}
 	r.reader = reader
 	if changed {
@@ -254,33 +358,82 @@
 
 // Read implements subscriber.Peer.
 func (r *Relayer) Read(ctx context.Context, topic string, from int64) (subscriber.Page, time.Duration, error) {
-	r.mu.Lock()
-	client, reader := r.readerClient, r.reader
-	r.mu.Unlock()
-	if client == nil {
-		return subscriber.Page{}, 0, subscriber.ErrNoPeer
-	}
-	readCtx, cancel := context.WithTimeout(ctx, readWait+responseSlack)
-	defer cancel()
-	response, err := client.Read(readCtx, connect.NewRequest(&schema.RelayRequest{
-		Zone: r.Zone, Reader: reader.Name, Topic: topic, From: from, Wait: durationpb.New(readWait),
-	}))
+	message, err := callReader(ctx, r, readWait+responseSlack, func(ctx context.Context, reader *readerClients) (*schema.RelayResponse, error) {
+		response, err := reader.relay.Read(ctx, connect.NewRequest(&schema.RelayRequest{
+			Zone: r.Zone, Reader: reader.Name, Topic: topic, From: from, Wait: durationpb.New(readWait),
+		}))
+		if err != nil {
+			return nil, err
+		}
+		return response.Msg, nil
+	})
 	if err != nil {
-		if ctx.Err() == nil && connect.CodeOf(err) != connect.CodeOutOfRange {
-			r.dropReader(reader, err)
+		return subscriber.Page{}, 0, err
+	}
+	return decodePage(message), message.GetAge().AsDuration() - message.GetHeld().AsDuration(), nil
+}
+
+// readerClients call the zone reader that this daemon follows.
+type readerClients struct {
+	ZoneReader
+	relay    schemaconnect.RelayServiceClient
+	snapshot schemaconnect.SnapshotServiceClient
+}
+
+func (r *Relayer) newReaderClients(reader ZoneReader) *readerClients {
+	url := "http://" + reader.Address.String()
+	bound := connect.WithReadMaxBytes(maxMessageBytes)
+	return &readerClients{
+		ZoneReader: reader,
+		relay:      schemaconnect.NewRelayServiceClient(r.Client, url, bound),
+		// Snapshots are compressed already.
+		snapshot: schemaconnect.NewSnapshotServiceClient(r.Client, url, bound, connect.WithAcceptCompression("gzip", nil, nil)),
+	}
+}
+
+// maxReaders bounds the zone readers that one read tries.
+const maxReaders = 2
+
+// callReader makes a call to the zone reader. If the reader fails at once, it makes the
+// call to the next one. It returns subscriber.ErrNoPeer if this daemon follows none.
+func callReader[T any](ctx context.Context, r *Relayer, timeout time.Duration, call func(context.Context, *readerClients) (T, error)) (result T, err error) {
+	for range maxReaders {
+		r.awaitRole(ctx)
+		r.mu.Lock()
+		reader := r.readerClients
+		r.mu.Unlock()
+		if reader == nil {
+			return result, subscriber.ErrNoPeer
+		}
+		callCtx, cancel := context.WithTimeout(ctx, timeout)
+		result, err = call(callCtx, reader)
+		cancel()
+		if err == nil {
+			r.relayedReads.Add(1)
+			return result, nil
+		}
+		switch connect.CodeOf(err) {
+		case connect.CodeOutOfRange:
+			return result, errors.Wrap(subscriber.ErrExpired, "read from the zone reader")
+		case connect.CodeFailedPrecondition:
+			return result, errors.Wrap(err, "read from the zone reader")
+		}
+		if ctx.Err() != nil {
+			break
+		}
+		r.dropReader(reader.ZoneReader, err)
+		if connect.CodeOf(err) == connect.CodeDeadlineExceeded {
+			break
 		}
-		return subscriber.Page{}, 0, errors.Wrap(err, "read from the zone reader")
 	}
-	r.relayedReads.Add(1)
-	return decodePage(response.Msg), response.Msg.GetAge().AsDuration() - response.Msg.GetHeld().AsDuration(), nil
+	return result, errors.Wrap(err, "read from the zone reader")
 }
 
 // decodePage converts a response of the RelayService to a page.
 func decodePage(response *schema.RelayResponse) subscriber.Page {
-	page := subscriber.Page{Next: response.GetNext(), End: response.GetNext()}
-	for _, record := range response.GetRecords() {
-		page.Records = append(page.Records, subscriber.Record{Key: record.GetKey(), Value: record.GetValue(), Offset: record.GetOffset()})
-	}
+	// Daemons of an earlier version set no end and always respond with all records.
+	page := subscriber.Page{Next: response.GetNext(), End: max(response.GetNext(), response.GetEnd())}
+	page.Records = decodeRecords(response.GetRecords())
 	return page
 }
 
@@ -294,8 +447,12 @@
 	}
 	r.Logger.Info("zone reader failed; reading the log", "zone", r.Zone, "role", Alone.String(), "lost", reader.Name, "error", err)
 	r.role = Alone
-	r.readerClient = nil
+	r.readerClients = nil
 	r.failedReader = reader
+	// After a timeout the view may be too old to wait for the next zone reader.
+	if connect.CodeOf(err) != connect.CodeDeadlineExceeded && r.isDecided() {
+		r.decided = make(chan struct{})
+	}
 	select {
 	case r.readerFailed <- struct{}{}:
 	default:
@@ -306,38 +463,48 @@
 type handler struct{ *Relayer }
 
 // Read implements schemaconnect.RelayServiceHandler. CodeOutOfRange means that the
-// client should read these records from the log. Any other error means that it
-// should look for another zone reader.
+// client needs a snapshot, CodeFailedPrecondition that it should read the topic from
+// the log. Any other error means that it should look for another zone reader.
 func (s *handler) Read(ctx context.Context, request *connect.Request[schema.RelayRequest]) (*connect.Response[schema.RelayResponse], error) {
 	started := s.Clock()
 	message := request.Msg
-	topic := s.topics[message.GetTopic()]
-	if topic == nil || message.GetZone() != s.Zone || message.GetReader() != s.Self.Name {
-		return nil, connect.NewError(connect.CodeNotFound, errors.New("request is for another zone, daemon or topic"))
-	}
-	if !s.acceptRequest() {
-		return nil, connect.NewError(connect.CodeUnavailable, errors.New("this daemon is not the zone reader"))
+	topic, err := s.acceptTopic(message.GetZone(), message.GetReader(), message.GetTopic())
+	if err != nil {
+		return nil, err
 	}
 	page, age, err := topic.RecordsFrom(ctx, message.GetFrom(), min(maxWait, message.GetWait().AsDuration()))
 	switch {
-	case errors.Is(err, subscriber.ErrExpired), errors.Is(err, subscriber.ErrTooLarge), errors.Is(err, subscriber.ErrUnread):
+	case errors.Is(err, subscriber.ErrExpired):
 		return nil, connect.NewError(connect.CodeOutOfRange, err)
+	case errors.Is(err, subscriber.ErrUnread):
+		return nil, connect.NewError(connect.CodeFailedPrecondition, err)
 	case err != nil:
 		return nil, connect.NewError(connect.CodeUnavailable, err)
 	}
-	response := &schema.RelayResponse{Next: page.Next, Age: durationpb.New(age), Held: durationpb.New(s.Clock() - started)}
-	for _, record := range page.Records {
-		response.Records = append(response.Records, &schema.RelayRecord{Key: record.Key, Value: record.Value, Offset: record.Offset})
-	}
+	response := &schema.RelayResponse{Next: page.Next, End: page.End, Age: durationpb.New(age), Held: durationpb.New(s.Clock() - started)}
+	response.Records = encodeRecords(page.Records)
 	s.Logger.Trace("served page to another daemon", "topic", message.GetTopic(), "from", message.GetFrom(), "next", page.Next, "age", noter.FormatDuration(age))
 	return connect.NewResponse(response), nil
 }
 
+// acceptTopic returns the topic of a request for records, or an error if this daemon
+// does not serve it.
+func (s *handler) acceptTopic(zone, reader, name string) (*subscriber.Subscriber, error) {
+	topic := s.topics[name]
+	if topic == nil || zone != s.Zone || reader != s.Self.Name {
+		return nil, connect.NewError(connect.CodeNotFound, errors.New("request is for another zone, daemon or topic"))
+	}
+	if !s.acceptRequest() {
+		return nil, connect.NewError(connect.CodeUnavailable, errors.New("this daemon is not the zone reader"))
+	}
+	return topic, nil
+}
+
 // acceptRequest reports whether this daemon serves others as the zone reader, and
 // records the time of the request.
 func (s *handler) acceptRequest() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.lastRequest = s.Clock()
-	return s.role == Reading && !s.draining.Load()
+	return (s.role == Reading || s.role == Claiming) && !s.draining.Load()
 }
--- /dev/null
+++ b/internal/relayer/snapshot.go
@@ -0,0 +1,157 @@
+package relayer
+
+import (
+	"bytes"
+	"compress/gzip"
+	"context"
+	"io"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/go-faster/errors"
+	"google.golang.org/protobuf/proto"
+	"google.golang.org/protobuf/types/known/durationpb"
+
+	"quetzalgrade.example/quetzalgrade/internal/subscriber"
+	"quetzalgrade.example/quetzalgrade/pkg/schema"
+)
+
+const (
+	// snapshotWait is how long the zone reader may hold a request for a snapshot while
+	// it reads the topic itself, and snapshotSlack how much longer the response may
+	// take.
+	snapshotWait  = 500 * time.Millisecond
+	snapshotSlack = time.Second
+	// maxSnapshotAge is how long an encoded snapshot serves further requests.
+	maxSnapshotAge = 2 * time.Second
+	// maxSnapshotBytes bounds a snapshot after decompression.
+	maxSnapshotBytes = 32 << 20
+)
+
+// Newest implements subscriber.Peer. A daemon that has just started waits until it
+// knows the zone reader.
+func (r *Relayer) Newest(ctx context.Context, topic string) (records []subscriber.Record, next int64, lag time.Duration, err error) {
+	message, err := callReader(ctx, r, snapshotWait+snapshotSlack, func(ctx context.Context, reader *readerClients) (*schema.SnapshotResponse, error) {
+		response, err := reader.snapshot.Newest(ctx, connect.NewRequest(&schema.SnapshotRequest{Zone: r.Zone, Reader: reader.Name, Topic: topic}))
+		if err != nil {
+			return nil, err
+		}
+		return response.Msg, nil
+	})
+	if err != nil {
+		return nil, 0, 0, err
+	}
+	if records, err = unpackRecords(message.GetRecords()); err != nil {
+		return nil, 0, 0, err
+	}
+	return records, message.GetNext(), message.GetAge().AsDuration() - message.GetHeld().AsDuration(), nil
+}
+
+// snapshotCache holds the encoded snapshot of a topic for the daemons that ask at
+// about the same time.
+type snapshotCache struct {
+	// lock holds a value while the snapshot is used or taken, which may take a while.
+	lock    chan struct{}
+	encoded []byte
+	// next and verifiedAt belong to the snapshot, encodedAt is when it was taken.
+	next       int64
+	verifiedAt time.Duration
+	encodedAt  time.Duration
+}
+
+func newSnapshotCache() *snapshotCache { return &snapshotCache{lock: make(chan struct{}, 1)} }
+
+// Newest implements schemaconnect.SnapshotServiceHandler. CodeFailedPrecondition means
+// that the client should read the topic from the log, as for Read.
+func (s *handler) Newest(ctx context.Context, request *connect.Request[schema.SnapshotRequest]) (*connect.Response[schema.SnapshotResponse], error) {
+	started := s.Clock()
+	message := request.Msg
+	topic, err := s.acceptTopic(message.GetZone(), message.GetReader(), message.GetTopic())
+	if err != nil {
+		return nil, err
+	}
+	response, err := s.snapshots[topic.Name()].response(ctx, topic, s.Clock)
+	if err != nil {
+		return nil, connect.NewError(connect.CodeFailedPrecondition, err)
+	}
+	response.Held = durationpb.New(s.Clock() - started)
+	return connect.NewResponse(response), nil
+}
+
+// response returns the encoded snapshot of the topic. It takes a new one if the last
+// one is old or the records since then are no longer buffered.
+func (c *snapshotCache) response(ctx context.Context, topic *subscriber.Subscriber, clock subscriber.Clock) (*schema.SnapshotResponse, error) {
+	select {
+	case c.lock <- struct{}{}:
+		defer func() { <-c.lock }()
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+	if c.encoded == nil || clock()-c.encodedAt > maxSnapshotAge || !topic.CoversFrom(c.next) {
+		snapshot, err := topic.Snapshot(ctx, snapshotWait)
+		if err != nil {
+			return nil, err
+		}
+		if c.encoded, err = packRecords(snapshot.Records); err != nil {
+			return nil, err
+		}
+		c.next, c.verifiedAt, c.encodedAt = snapshot.Next, snapshot.VerifiedAt, clock()
+	}
+	return &schema.SnapshotResponse{Records: c.encoded, Next: c.next, Age: durationpb.New(clock() - c.verifiedAt)}, nil
+}
+
+// packRecords encodes and compresses records.
+func packRecords(records []subscriber.Record) ([]byte, error) {
+	data, err := proto.Marshal(&schema.SnapshotRecords{Records: encodeRecords(records)})
+	if err != nil {
+		return nil, errors.Wrap(err, "encode snapshot")
+	}
+	var packed bytes.Buffer
+	writer, err := gzip.NewWriterLevel(&packed, gzip.BestSpeed)
+	if err != nil {
+		return nil, errors.Wrap(err, "compress snapshot")
+	}
+	if _, err := writer.Write(data); err != nil {
+		return nil, errors.Wrap(err, "compress snapshot")
+	}
+	if err := writer.Close(); err != nil {
+		return nil, errors.Wrap(err, "compress snapshot")
+	}
+	return packed.Bytes(), nil
+}
+
+// unpackRecords reverses packRecords.
+func unpackRecords(packed []byte) ([]subscriber.Record, error) {
+	reader, err := gzip.NewReader(bytes.NewReader(packed))
+	if err != nil {
+		return nil, errors.Wrap(err, "decompress snapshot")
+	}
+	data, err := io.ReadAll(io.LimitReader(reader, maxSnapshotBytes+1))
+	if err != nil {
+		return nil, errors.Wrap(err, "decompress snapshot")
+	}
+	if len(data) > maxSnapshotBytes {
+		return nil, errors.Errorf("snapshot exceeds %d bytes", maxSnapshotBytes)
+	}
+	message := &schema.SnapshotRecords{}
+	if err := proto.Unmarshal(data, message); err != nil {
+		return nil, errors.Wrap(err, "decode snapshot")
+	}
+	return decodeRecords(message.GetRecords()), nil
+}
+
+func encodeRecords(records []subscriber.Record) []*schema.RelayRecord {
+	var encoded []*schema.RelayRecord
+	for _, record := range records {
+		encoded = append(encoded, &schema.RelayRecord{Key: record.Key, Value: record.Value, Offset: record.Offset})
+	}
+	return encoded
+}
+
+func decodeRecords(encoded []*schema.RelayRecord) []subscriber.Record {
+	var records []subscriber.Record
+	for _, record := range encoded {
+		records = append(records, subscriber.Record{Key: record.GetKey(), Value: record.GetValue(), Offset: record.GetOffset()})
+	}
+	return records
+}
--- a/internal/runner/progress.go
+++ b/internal/runner/progress.go
@@ -126,10 +126,7 @@
 		return nil
 	}
 	if rollout.writeAt == 0 {
-		rollout.writeAt = now
-		if next != promoter.RolledBack {
-			rollout.writeAt += time.Duration(rand.Int64N(int64(writeJitter)))
-		}
+		rollout.writeAt = now + m.writeDelay(next)
 	}
 	if now < rollout.writeAt {
 		return nil
@@ -155,6 +152,21 @@
 	return m.statusWrite(status)
 }
 
+// writeDelay returns how long this daemon waits before it writes a state. The zone
+// readers see a change first and write first, so that the other daemons, of which there
+// are many, rarely make a conflicting write.
+func (m *rolloutManager) writeDelay(next promoter.State) time.Duration {
+	jitter := writeJitter
+	if next == promoter.RolledBack {
+		jitter = rollbackJitter
+	}
+	delay := time.Duration(rand.Int64N(int64(jitter)))
+	if m.relayer.Following() {
+		delay += jitter
+	}
+	return delay
+}
+
 // statusWrite returns a write of a state. The append is conditional on the
 // topic's end, so that only one of the daemons writes the state. A conflict is
 // not an error: another daemon has written first.
--- a/internal/runner/rollouts.go
+++ b/internal/runner/rollouts.go
@@ -27,8 +27,10 @@
 	// speedReportIntervals is the number of report intervals between two reports
 	// without new bad results.
 	speedReportIntervals = 2
-	// writeJitter spreads the daemons' attempts to write the same state.
-	writeJitter = time.Second
+	// writeJitter spreads the daemons' attempts to write the same state, rollbackJitter
+	// those to write a roll-back. Daemons stop using a bad version before that.
+	writeJitter    = time.Second
+	rollbackJitter = 200 * time.Millisecond
 	// resultsBatchDelay is the pause after a read that returned reports.
 	resultsBatchDelay = 250 * time.Millisecond
 	// rolloutReadWait is how long a read waits for a status or a report.
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -251,16 +251,13 @@
 	}
 	r.clientServer = r.newServer(r.forwarder)
 	r.serve(group, r.clientServer, r.listeners.clients)
-	path, relayHandler := r.relayer.Handler()
-	relayMux := http.NewServeMux()
-	relayMux.Handle(path, relayHandler)
 	for _, handled := range []struct {
 		listener net.Listener
 		handler  http.Handler
 	}{
 		{r.listeners.ready, http.HandlerFunc(r.handleReady)},
 		{r.listeners.metrics, http.HandlerFunc(r.handleMetrics)},
-		{r.listeners.relay, relayMux},
+		{r.listeners.relay, r.relayer.Handler()},
 	} {
 		if handled.listener == nil {
 			continue
--- a/internal/subscriber/subscriber.go
+++ b/internal/subscriber/subscriber.go
@@ -52,10 +52,13 @@
 
 // Peer is another daemon that has read the topic.
 type Peer interface {
+	// Newest returns the newest record of each key, the offset from which Read returns
+	// all newer records, and the lag as Read does.
+	Newest(ctx context.Context, topic string) (records []Record, next int64, lag time.Duration, err error)
 	// Read returns the records from an offset on, and how long before this call
 	// the peer's last verified read was sent. The lag is negative if that read was
-	// sent after the call. The page always ends at the last offset that the peer
-	// has read.
+	// sent after the call. The end of the page is the offset after the last record that
+	// the peer has read. It returns ErrExpired if the peer no longer has the records.
 	Read(ctx context.Context, topic string, from int64) (page Page, lag time.Duration, err error)
 }
 
@@ -98,6 +101,8 @@
 	peer   Peer
 	window *window
 
+	// afterPeer is set while the latest read was from the peer. Only Run uses it.
+	afterPeer bool
 	// initialised is set once all keys have been read and nextOffset is valid. Only
 	// Run uses it.
 	initialised bool
@@ -132,6 +137,10 @@
 	ConfirmAfter time.Duration
 }
 
+// maxLag returns the largest lag of a peer that reads without failures: a read that
+// returned records counts from when it was sent, and the batch delay follows it.
+func (t ReadTiming) maxLag() time.Duration { return t.Wait + t.BatchDelay + responseSlack }
+
 // New returns a subscriber of the named topic. Run calls handle with one change
 // at a time.
 func New(name string, source Source, timing ReadTiming, clock Clock, handle func(Change), logger hclog.Logger) *Subscriber {
@@ -147,14 +156,25 @@
 
 // RecordsFrom returns the records that the subscriber has read from an offset
 // on, and the age of its last verified read. It waits until there are records,
-// a newer verified read, or the wait is over. It returns ErrUnread, ErrFailing,
-// ErrExpired or ErrTooLarge if it cannot serve the records, and the error of ctx
-// if that ends first.
+// a newer verified read, or the wait is over. It returns ErrUnread, ErrFailing
+// or ErrExpired if it cannot serve the records, and the error of ctx if that ends
+// first.
 func (s *Subscriber) RecordsFrom(ctx context.Context, from int64, wait time.Duration) (Page, time.Duration, error) {
 	page, verifiedAt, err := s.window.recordsFrom(ctx, from, wait)
 	return page, s.clock() - verifiedAt, err
 }
 
+// Snapshot returns the newest records of all keys that the subscriber has read. It
+// waits until it has read them, but not longer than the given time. It returns
+// ErrUnread or ErrFailing if it cannot serve them, and the error of ctx if that ends
+// first.
+func (s *Subscriber) Snapshot(ctx context.Context, wait time.Duration) (Snapshot, error) {
+	return s.window.snapshot(ctx, wait)
+}
+
+// CoversFrom reports whether RecordsFrom can serve the records from an offset on.
+func (s *Subscriber) CoversFrom(offset int64) bool { return s.window.coversFrom(offset) }
+
 // Run follows the topic until ctx ends, and returns the error of ctx.
 func (s *Subscriber) Run(ctx context.Context) error {
 	defer s.window.markUnread()
@@ -198,11 +218,12 @@
 	}
 	sentAt := s.clock()
 	wait := s.timing.Wait
-	if s.isFailing() {
-		// The first read after a failure does not wait, so that it becomes a verified
-		// read at once.
+	if s.isFailing() || s.afterPeer {
+		// The first read after a failure, or after those of the peer, does not wait, so
+		// that it becomes a verified read at once.
 		wait = 0
 	}
+	s.afterPeer = false
 	page, waited, err := s.readSource(ctx, wait)
 	if errors.Is(err, ErrExpired) {
 		s.logger.Info("records expired before they were read; reading all keys", "topic", s.name, "offset", s.nextOffset)
@@ -229,17 +250,23 @@
 	}
 	sentAt := s.clock()
 	page, lag, err := s.peer.Read(ctx, s.name, s.NextOffset())
+	if errors.Is(err, ErrExpired) {
+		// The peer has all keys, but no longer the records since this offset.
+		s.initialised = false
+		return true
+	}
 	if err != nil {
 		if !errors.Is(err, ErrNoPeer) {
 			s.logger.Debug("cannot read topic from peer; reading the log", "topic", s.name, "error", err)
 		}
 		return false
 	}
-	if lag > s.timing.Wait+responseSlack {
+	if lag > s.timing.maxLag() {
 		s.logger.Warn("peer's last verified read is too old; reading the log", "topic", s.name, "lag", noter.FormatDuration(lag))
 		return false
 	}
 	s.applyPage(page, sentAt-lag)
+	s.afterPeer = true
 	return true
 }
 
@@ -255,8 +282,7 @@
 	if atEnd {
 		s.window.appendRecords(page.Records, page.Next, verifiedAt)
 	} else {
-		s.window.reset(page.Next, verifiedAt)
-		s.window.markFailing()
+		s.window.skipTo(page.Records, page.Next, verifiedAt)
 	}
 }
 
@@ -304,8 +330,11 @@
 	return s.nextOffset
 }
 
-// readNewest reads the newest record of every key.
+// readNewest reads the newest record of every key, from the peer if it has them.
 func (s *Subscriber) readNewest(ctx context.Context) error {
+	if s.readPeerNewest(ctx) {
+		return nil
+	}
 	sentAt := s.clock()
 	bounded, cancel := context.WithTimeout(ctx, newestTimeout)
 	defer cancel()
@@ -313,12 +342,37 @@
 	if err != nil {
 		return err
 	}
+	s.applyNewest(items, next, sentAt)
+	return nil
+}
+
+// readPeerNewest applies the newest records from the peer. It returns false if the
+// log must be read instead.
+func (s *Subscriber) readPeerNewest(ctx context.Context) (ok bool) {
+	if s.peer == nil {
+		return false
+	}
+	sentAt := s.clock()
+	records, next, lag, err := s.peer.Newest(ctx, s.name)
+	if err != nil {
+		if !errors.Is(err, ErrNoPeer) {
+			s.logger.Debug("cannot read all keys from peer; reading the log", "topic", s.name, "error", err)
+		}
+		return false
+	}
+	s.applyNewest(records, next, sentAt-lag)
+	s.afterPeer = true
+	return true
+}
+
+// applyNewest passes the newest records of all keys to the handler. Every record
+// appended before verifiedAt has been read.
+func (s *Subscriber) applyNewest(records []Record, next int64, verifiedAt time.Duration) {
 	s.setNextOffset(next)
 	s.initialised = true
-	s.handle(Change{Complete: true, Records: items})
-	s.recordVerifiedRead(sentAt, true)
-	s.window.reset(next, sentAt)
-	return nil
+	s.handle(Change{Complete: true, Records: records})
+	s.recordVerifiedRead(verifiedAt, true)
+	s.window.load(records, next, verifiedAt)
 }
 
 // recordVerifiedRead records that everything appended before sentAt has been
--- a/internal/subscriber/window.go
+++ b/internal/subscriber/window.go
@@ -1,7 +1,10 @@
 package subscriber
 
 import (
+	"cmp"
 	"context"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -15,23 +18,26 @@
 	ErrUnread = errors.New("topic has not been read yet or is not followed")
 	// ErrFailing is returned while reads of the topic fail.
 	ErrFailing = errors.New("reads of topic are failing")
-	// ErrTooLarge is returned for a page of records that is too large to relay. The
-	// client should read it from the log.
-	ErrTooLarge = errors.New("records are too large to relay")
 )
 
 const (
 	// maxBufferedBytes bounds the record values that are buffered for other daemons.
 	maxBufferedBytes = 256 << 10
-	// maxPeerPageBytes bounds the record values of one page for another daemon. Many
-	// daemons may ask at once, and the network bandwidth of an instance is low.
-	maxPeerPageBytes = 32 << 10
+	// failingGrace is how long a request waits for reads of the log that fail to succeed
+	// again, so that a short failure does not make all daemons read the log.
+	failingGrace = 400 * time.Millisecond
+	// maxPeerPageBytes bounds the record values of one page for another daemon, unless
+	// a single record is larger. Many daemons may ask at once, and the network bandwidth
+	// of an instance is low.
+	maxPeerPageBytes = 64 << 10
 )
 
-// window buffers the newest records of a topic together with the time of the
-// last verified read. It is safe for concurrent use.
+// window buffers the latest records of a topic and the newest one of each key,
+// together with the time of the last verified read. It is safe for concurrent use.
 type window struct {
-	mu      sync.Mutex
+	mu sync.Mutex
+	// newest holds the newest record of each key, without deleted keys.
+	newest  map[string]Record
 	records []Record
 	bytes   int
 	// firstOffset is the offset of the first buffered record, nextOffset the offset
@@ -46,18 +52,49 @@
 	changed chan struct{}
 }
 
-func newWindow() *window { return &window{changed: make(chan struct{})} }
+func newWindow() *window {
+	return &window{newest: map[string]Record{}, changed: make(chan struct{})}
+}
 
-// reset empties the window, so that it begins at nextOffset.
-func (w *window) reset(nextOffset int64, verifiedAt time.Duration) {
+// load replaces the content by the newest records of all keys.
+func (w *window) load(records []Record, nextOffset int64, verifiedAt time.Duration) {
 	w.update(func() {
-		w.records = nil
-		w.bytes = 0
-		w.firstOffset = nextOffset
-		w.nextOffset = nextOffset
-		w.loaded = true
-		w.failing = false
-		w.verifiedAt = verifiedAt
+		clear(w.newest)
+		w.addNewest(records)
+		w.empty(nextOffset, verifiedAt)
+	})
+}
+
+// addNewest updates the newest records of their keys. The caller holds the mutex.
+func (w *window) addNewest(records []Record) {
+	for _, record := range records {
+		if len(record.Value) == 0 {
+			delete(w.newest, record.Key)
+			continue
+		}
+		w.newest[record.Key] = record
+	}
+}
+
+// empty drops the buffered records, so that they begin at nextOffset. The caller
+// holds the mutex.
+func (w *window) empty(nextOffset int64, verifiedAt time.Duration) {
+	w.records = nil
+	w.bytes = 0
+	w.firstOffset = nextOffset
+	w.nextOffset = nextOffset
+	w.loaded = true
+	w.failing = false
+	w.verifiedAt = verifiedAt
+}
+
+// skipTo records a page that did not reach the end of the topic. The window serves
+// no records until one does.
+func (w *window) skipTo(records []Record, nextOffset int64, verifiedAt time.Duration) {
+	w.update(func() {
+		w.addNewest(records)
+		w.empty(nextOffset, verifiedAt)
+		w.failing = true
 	})
 }
 
@@ -65,6 +102,7 @@
 // Everything appended before verifiedAt has been read.
 func (w *window) appendRecords(records []Record, nextOffset int64, verifiedAt time.Duration) {
 	w.update(func() {
+		w.addNewest(records)
 		for _, record := range records {
 			w.records = append(w.records, record)
 			w.bytes += len(record.Value)
@@ -111,16 +149,31 @@
 
 // recordsFrom returns the records from an offset on, and the time of the last
 // verified read. It waits until there are records, a newer verified read, or the
-// wait is over.
+// wait is over. While reads of the log fail it returns ErrFailing after failingGrace.
 func (w *window) recordsFrom(ctx context.Context, from int64, wait time.Duration) (Page, time.Duration, error) {
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	var firstVerifiedAt time.Duration
+	var failingLong <-chan time.Time
 	for round := 0; ; round++ {
 		page, verifiedAt, changed, err := w.currentPage(from)
 		if round == 0 {
 			firstVerifiedAt = verifiedAt
 		}
+		if errors.Is(err, ErrFailing) {
+			if failingLong == nil {
+				failingLong = time.After(failingGrace)
+			}
+			select {
+			case <-changed:
+				continue
+			case <-failingLong:
+				return page, 0, err
+			case <-ctx.Done():
+				return Page{}, 0, ctx.Err()
+			}
+		}
+		failingLong = nil
 		if err != nil || len(page.Records) > 0 || verifiedAt > firstVerifiedAt {
 			return page, verifiedAt, err
 		}
@@ -148,15 +201,74 @@
 	case from < w.firstOffset:
 		return page, 0, w.changed, ErrExpired
 	}
+	page.Records, page.Next = w.recordsWithin(from, page.Next)
+	return page, w.verifiedAt, w.changed, nil
+}
+
+// recordsWithin returns the buffered records from an offset on, as many as fit
+// maxPeerPageBytes and at least one, and the offset after them. end is the offset
+// after all of them. The caller holds the mutex.
+func (w *window) recordsWithin(from, end int64) (records []Record, next int64) {
 	size := 0
 	for _, record := range w.records {
-		if record.Offset >= from {
-			page.Records = append(page.Records, record)
-			size += len(record.Value)
+		if record.Offset < from {
+			continue
+		}
+		if size += len(record.Value); size > maxPeerPageBytes && len(records) > 0 {
+			return records, record.Offset
+		}
+		records = append(records, record)
+	}
+	return records, end
+}
+
+// Snapshot is the newest record of each key of a topic.
+type Snapshot struct {
+	Records []Record
+	// Next is the offset from which Read returns all newer records.
+	Next int64
+	// VerifiedAt is when everything appended before had been read.
+	VerifiedAt time.Duration
+}
+
+// snapshot returns the newest records of all keys. It waits until they have been
+// read, but not longer than the given time.
+func (w *window) snapshot(ctx context.Context, wait time.Duration) (Snapshot, error) {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	for {
+		snapshot, changed, err := w.currentSnapshot()
+		if !errors.Is(err, ErrUnread) {
+			return snapshot, err
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			return Snapshot{}, err
+		case <-ctx.Done():
+			return Snapshot{}, ctx.Err()
 		}
 	}
-	if size > maxPeerPageBytes {
-		return Page{}, 0, w.changed, ErrTooLarge
+}
+
+// currentSnapshot returns the newest records without waiting, and a channel that is
+// closed by the next update.
+func (w *window) currentSnapshot() (Snapshot, <-chan struct{}, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	switch {
+	case !w.loaded:
+		return Snapshot{}, w.changed, ErrUnread
+	case w.failing:
+		return Snapshot{}, w.changed, ErrFailing
 	}
-	return page, w.verifiedAt, w.changed, nil
+	records := slices.SortedFunc(maps.Values(w.newest), func(a, b Record) int { return cmp.Compare(a.Offset, b.Offset) })
+	return Snapshot{Records: records, Next: w.nextOffset, VerifiedAt: w.verifiedAt}, w.changed, nil
+}
+
+// coversFrom reports whether the buffered records begin at the offset or before.
+func (w *window) coversFrom(offset int64) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.loaded && !w.failing && offset >= w.firstOffset
 }
--- a/pkg/schema/schemaconnect/relay.connect.go
+++ b/pkg/schema/schemaconnect/relay.connect.go
@@ -23,6 +23,8 @@
 const (
 	// RelayServiceName is the fully-qualified name of the RelayService service.
 	RelayServiceName = "quetzalgrade.v1.RelayService"
+	// SnapshotServiceName is the fully-qualified name of the SnapshotService service.
+	SnapshotServiceName = "quetzalgrade.v1.SnapshotService"
 )
 
 // These constants are the fully-qualified names of the RPCs defined in this package. They're
@@ -37,6 +39,8 @@
 	RelayServiceReadProcedure = "/quetzalgrade.v1.RelayService/Read"
 	// RelayServiceLoadsProcedure is the fully-qualified name of the RelayService's Loads RPC.
 	RelayServiceLoadsProcedure = "/quetzalgrade.v1.RelayService/Loads"
+	// SnapshotServiceNewestProcedure is the fully-qualified name of the SnapshotService's Newest RPC.
+	SnapshotServiceNewestProcedure = "/quetzalgrade.v1.SnapshotService/Newest"
 )
 
 // RelayServiceClient is a client for the quetzalgrade.v1.RelayService service.
@@ -136,3 +140,73 @@
 func (UnimplementedRelayServiceHandler) Loads(context.Context, *connect.Request[schema.LoadsRequest]) (*connect.Response[schema.LoadsResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("quetzalgrade.v1.RelayService.Loads is not implemented"))
 }
+
+// SnapshotServiceClient is a client for the quetzalgrade.v1.SnapshotService service.
+type SnapshotServiceClient interface {
+	Newest(context.Context, *connect.Request[schema.SnapshotRequest]) (*connect.Response[schema.SnapshotResponse], error)
+}
+
+// NewSnapshotServiceClient constructs a client for the quetzalgrade.v1.SnapshotService service. By
+// default, it uses the Connect protocol with the binary Protobuf Codec, asks for gzipped responses,
+// and sends uncompressed requests. To use the gRPC or gRPC-Web protocols, supply the
+// connect.WithGRPC() or connect.WithGRPCWeb() options.
+//
+// The URL supplied here should be the base URL for the Connect or gRPC server (for example,
+// http://api.acme.com or https://acme.com/grpc).
+func NewSnapshotServiceClient(httpClient connect.HTTPClient, baseURL string, opts ...connect.ClientOption) SnapshotServiceClient {
+	baseURL = strings.TrimRight(baseURL, "/")
+	snapshotServiceMethods := schema.File_quetzalgrade_v1_relay_proto.Services().ByName("SnapshotService").Methods()
+	return &snapshotServiceClient{
+		newest: connect.NewClient[schema.SnapshotRequest, schema.SnapshotResponse](
+			httpClient,
+			baseURL+SnapshotServiceNewestProcedure,
+			connect.WithSchema(snapshotServiceMethods.ByName("Newest")),
+			connect.WithClientOptions(opts...),
+		),
+	}
+}
+
+// snapshotServiceClient implements SnapshotServiceClient.
+type snapshotServiceClient struct {
+	newest *connect.Client[schema.SnapshotRequest, schema.SnapshotResponse]
+}
+
+// Newest calls quetzalgrade.v1.SnapshotService.Newest.
+func (c *snapshotServiceClient) Newest(ctx context.Context, req *connect.Request[schema.SnapshotRequest]) (*connect.Response[schema.SnapshotResponse], error) {
+	return c.newest.CallUnary(ctx, req)
+}
+
+// SnapshotServiceHandler is an implementation of the quetzalgrade.v1.SnapshotService service.
+type SnapshotServiceHandler interface {
+	Newest(context.Context, *connect.Request[schema.SnapshotRequest]) (*connect.Response[schema.SnapshotResponse], error)
+}
+
+// NewSnapshotServiceHandler builds an HTTP handler from the service implementation. It returns the
+// path on which to mount the handler and the handler itself.
+//
+// By default, handlers support the Connect, gRPC, and gRPC-Web protocols with the binary Protobuf
+// and JSON codecs. They also support gzip compression.
+func NewSnapshotServiceHandler(svc SnapshotServiceHandler, opts ...connect.HandlerOption) (string, http.Handler) {
+	snapshotServiceMethods := schema.File_quetzalgrade_v1_relay_proto.Services().ByName("SnapshotService").Methods()
+	snapshotServiceNewestHandler := connect.NewUnaryHandler(
+		SnapshotServiceNewestProcedure,
+		svc.Newest,
+		connect.WithSchema(snapshotServiceMethods.ByName("Newest")),
+		connect.WithHandlerOptions(opts...),
+	)
+	return "/quetzalgrade.v1.SnapshotService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		switch r.URL.Path {
+		case SnapshotServiceNewestProcedure:
+			snapshotServiceNewestHandler.ServeHTTP(w, r)
+		default:
+			http.NotFound(w, r)
+		}
+	})
+}
+
+// UnimplementedSnapshotServiceHandler returns CodeUnimplemented from all methods.
+type UnimplementedSnapshotServiceHandler struct{}
+
+func (UnimplementedSnapshotServiceHandler) Newest(context.Context, *connect.Request[schema.SnapshotRequest]) (*connect.Response[schema.SnapshotResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("quetzalgrade.v1.SnapshotService.Newest is not implemented"))
+}
