Keep followers off the log while the zone reader starts or ends a topic

Change: a follower whose reader is not ready asks again for up to 0.9 s; the newest records stay available after a topic is no longer followed; zones claim in partitions of their own.

--- a/internal/commander/entry.go
+++ b/internal/commander/entry.go
@@ -68,7 +68,7 @@
 		EndpointTopic: log.Endpoints(),
 		StatusTopic:   log.Status(),
 		ResultsTopic:  log.Results(),
-		ReaderTopic:   log.Readers(),
+		ReaderTopic:   log.Readers(settings.Zone),
 		Clock:         runner.SinceBoot,
 		LogOutput:     logs,
 		ReloadSignal:  reload,
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -421,7 +421,7 @@
 		case connect.CodeOutOfRange:
 			return result, errors.Wrap(subscriber.ErrExpired, "read from the zone reader")
 		case connect.CodeFailedPrecondition:
-			return result, errors.Wrap(err, "read from the zone reader")
+			return result, errors.Wrap(subscriber.ErrUnread, "read from the zone reader")
 		}
 		if ctx.Err() != nil {
 			break
--- a/internal/subscriber/subscriber.go
+++ b/internal/subscriber/subscriber.go
@@ -58,7 +58,8 @@
 	// Read returns the records from an offset on, and how long before this call
 	// the peer's last verified read was sent. The lag is negative if that read was
 	// sent after the call. The end of the page is the offset after the last record that
-	// the peer has read. It returns ErrExpired if the peer no longer has the records.
+	// the peer has read. It returns ErrExpired if the peer no longer has the records, and
+	// ErrUnread if it does not follow the topic now.
 	Read(ctx context.Context, topic string, from int64) (page Page, lag time.Duration, err error)
 }
 
@@ -83,6 +84,10 @@
 	responseSlack = 700 * time.Millisecond
 	// newestTimeout bounds one read of all keys.
 	newestTimeout = 1500 * time.Millisecond
+	// unreadPause is the pause after a read for which the peer was not ready, maxUnread
+	// the number of such reads in a row before the log is read.
+	unreadPause = 300 * time.Millisecond
+	maxUnread   = 3
 	// minBackoff and maxBackoff bound the pause after a failed read.
 	minBackoff = 50 * time.Millisecond
 	maxBackoff = 600 * time.Millisecond
@@ -101,6 +106,9 @@
 	peer   Peer
 	window *window
 
+	// unreadCount is the number of reads in a row for which the peer was not ready.
+	// Only Run uses it.
+	unreadCount int
 	// afterPeer is set while the latest read was from the peer. Only Run uses it.
 	afterPeer bool
 	// initialised is set once all keys have been read and nextOffset is valid. Only
@@ -250,11 +258,19 @@
 	}
 	sentAt := s.clock()
 	page, lag, err := s.peer.Read(ctx, s.name, s.NextOffset())
-	if errors.Is(err, ErrExpired) {
+	switch {
+	case errors.Is(err, ErrExpired):
 		// The peer has all keys, but no longer the records since this offset.
 		s.initialised = false
 		return true
+	case errors.Is(err, ErrUnread) && s.unreadCount < maxUnread:
+		// The peer has just started, or follows the topic a moment later or shorter
+		// than this daemon.
+		s.unreadCount++
+		sleep(ctx, unreadPause)
+		return true
 	}
+	s.unreadCount = 0
 	if err != nil {
 		if !errors.Is(err, ErrNoPeer) {
 			s.logger.Debug("cannot read topic from peer; reading the log", "topic", s.name, "error", err)
--- a/internal/subscriber/window.go
+++ b/internal/subscriber/window.go
@@ -44,8 +44,10 @@
 	// after the last one.
 	firstOffset int64
 	nextOffset  int64
-	// loaded is set while the topic is followed and has been read.
+	// loaded is set while the topic is followed and has been read, hasNewest once it has
+	// been read.
 	loaded     bool
+	hasNewest  bool
 	failing    bool
 	verifiedAt time.Duration
 	// changed is closed and replaced by each update.
@@ -84,6 +86,7 @@
 	w.firstOffset = nextOffset
 	w.nextOffset = nextOffset
 	w.loaded = true
+	w.hasNewest = true
 	w.failing = false
 	w.verifiedAt = verifiedAt
 }
@@ -232,7 +235,8 @@
 }
 
 // snapshot returns the newest records of all keys. It waits until they have been
-// read, but not longer than the given time.
+// read, but not longer than the given time. If the topic is not followed any more, the
+// records are those until then.
 func (w *window) snapshot(ctx context.Context, wait time.Duration) (Snapshot, error) {
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
@@ -257,7 +261,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	switch {
-	case !w.loaded:
+	case !w.hasNewest:
 		return Snapshot{}, w.changed, ErrUnread
 	case w.failing:
 		return Snapshot{}, w.changed, ErrFailing
--- a/internal/subscriber/window_test.go
+++ b/internal/subscriber/window_test.go
@@ -37,6 +37,16 @@
 			return subscriber.Page{Next: from, End: from}, lag, nil
 		}
 	}
+	// unready returns a peer that does not follow the topic for its first reads.
+	unready := func(reads int) peerFunc {
+		return func(_ context.Context, from int64) (subscriber.Page, time.Duration, error) {
+			if reads--; reads >= 0 {
+				return subscriber.Page{}, 0, subscriber.ErrUnread
+			}
+			time.Sleep(10 * time.Millisecond)
+			return subscriber.Page{Next: from, End: from}, 0, nil
+		}
+	}
 	rows := map[string]struct {
 		peer peerFunc
 		// minAge and maxAge bound the verified age after 20 s.
@@ -48,6 +58,8 @@
 		"verified read during the request": {respond(time.Second, -time.Second), 0, time.Second, false},
 		"slow response":                    {respond(1500*time.Millisecond, 0), 0, 3 * time.Second, false},
 		"verified read too long ago":       {respond(10*time.Millisecond, 10*time.Second), 0, 3 * time.Second, true},
+		"peer not ready at first":          {unready(3), 0, time.Second, false},
+		"peer never ready":                 {unready(1000), 0, 3 * time.Second, true},
 		"no peer": {func(context.Context, int64) (subscriber.Page, time.Duration, error) {
 			return subscriber.Page{}, 0, subscriber.ErrNoPeer
 		}, 0, 3 * time.Second, true},
@@ -150,6 +162,11 @@
 				if err := <-done; !errors.Is(err, context.Canceled) {
 					t.Errorf("Run() got error %v, want %v", err, context.Canceled)
 				}
+				// The first read of all keys returns one more.
+				want := 1 + len(newestValues(row.records))
+				if snapshot, err := s.Snapshot(t.Context(), 0); err != nil || len(snapshot.Records) != want {
+					t.Errorf("Snapshot() after Run() returned got %d records, %v, want %d", len(snapshot.Records), err, want)
+				}
 				if _, _, err := s.RecordsFrom(t.Context(), row.from, 0); !errors.Is(err, subscriber.ErrUnread) && row.wantErr == nil {
 					t.Errorf("RecordsFrom() after Run() returned got error %v, want %v", err, subscriber.ErrUnread)
 				}
@@ -157,3 +174,15 @@
 		})
 	}
 }
+
+// newestValues returns the newest value of each key that is not deleted.
+func newestValues(records []subscriber.Record) map[string][]byte {
+	newest := map[string][]byte{}
+	for _, record := range records {
+		newest[record.Key] = record.Value
+		if len(record.Value) == 0 {
+			delete(newest, record.Key)
+		}
+	}
+	return newest
+}
