--- a/internal/biller/biller.go
+++ b/internal/biller/biller.go
@@ -242,6 +242,7 @@
 		err := b.peers.SendCopies(attemptCtx, holder, bills, saved)
 		cancel()
 		if err != nil {
+			b.restoreSaved(holder, saved)
 			continue
 		}
 		b.mu.Lock()
@@ -264,6 +265,16 @@
 	return saved
 }
 
+// restoreSaved keeps the ids of saved bills that could not be sent to a holder.
+func (b *Biller) restoreSaved(holder string, saved []string) {
+	if len(saved) == 0 {
+		return
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.saved[holder] = append(saved, b.saved[holder]...)
+}
+
 // RemoveSaved removes the bills and the adopted copies that the log has
 // acknowledged.
 func (b *Biller) RemoveSaved() {
--- a/internal/biller/biller_test.go
+++ b/internal/biller/biller_test.go
@@ -34,6 +34,8 @@
 	holder *biller.Biller
 	down   map[string]bool
 	calls  int
+	// saved are the ids of saved bills that a holder has received.
+	saved []string
 }
 
 func (p *peers) Holders() []string { return []string{"first", "second"} }
@@ -45,11 +47,12 @@
 	if p.down[holder] {
 		return errors.New("peer is down")
 	}
+	p.saved = append(p.saved, saved...)
 	return p.holder.StoreCopies("creator/1", bills, saved)
 }
 
-func newBiller(log journaler.Log, p biller.Peers, limit int) *biller.Biller {
-	return biller.New(journaler.NewAppender(log, biller.Stream, rate.NewLimiter(100, 1), time.Second), p, limit)
+func newBiller(p biller.Peers, limit int) *biller.Biller {
+	return biller.New(journaler.NewAppender(failingLog{}, biller.Stream, rate.NewLimiter(100, 1), time.Second), p, limit)
 }
 
 // Guards against a bill that is lost with the daemon that created it: Record must
@@ -70,8 +73,8 @@
 			synctest.Test(t, func(t *testing.T) {
 				ctx, cancel := context.WithCancel(t.Context())
 				defer cancel()
-				holder := newBiller(failingLog{}, &peers{}, 10)
-				b := newBiller(failingLog{}, &peers{holder: holder, down: row.down}, 10)
+				holder := newBiller(&peers{}, 10)
+				b := newBiller(&peers{holder: holder, down: row.down}, 10)
 				go func() { _ = b.Run(ctx) }()
 				if err := b.Reserve(); err != nil {
 					t.Fatalf("Reserve() got error %v, want nil", err)
@@ -92,6 +95,40 @@
 	}
 }
 
+// workingLog accepts every append.
+type workingLog struct{ failingLog }
+
+func (workingLog) Append(context.Context, string, []byte) (uint64, error) { return 0, nil }
+
+// Guards against copies that a holder keeps and appends again although the bills are
+// saved: ids that could not be sent must be sent with the next copies.
+func TestIDsOfSavedBillsAreSentAgainAfterFailure(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		p := &peers{holder: newBiller(&peers{}, 10), down: map[string]bool{}}
+		appender := journaler.NewAppender(workingLog{}, biller.Stream, rate.NewLimiter(100, 1), time.Second)
+		b := biller.New(appender, p, 10)
+		go func() { _ = b.Run(ctx) }()
+		go func() { _ = appender.Run(ctx) }()
+		record := func(id string, firstDown bool) {
+			p.down["first"] = firstDown
+			if err := b.Reserve(); err != nil {
+				t.Fatalf("Reserve() got error %v, want nil", err)
+			}
+			b.Record(ctx, &schema.Bill{Id: id})
+			time.Sleep(5 * time.Second)
+			b.RemoveSaved()
+		}
+		record("1", false)
+		record("2", true)
+		record("3", false)
+		if len(p.saved) == 0 || p.saved[0] != "1" {
+			t.Errorf("ids of saved bills got %v, want 1 among them", p.saved)
+		}
+	})
+}
+
 // Guards against dispatching requests that cannot be billed. While the log is
 // unavailable, bills accumulate up to the limit; the next request must then fail
 // with an error that says that it was not executed.
@@ -99,7 +136,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		defer cancel()
-		b := newBiller(failingLog{}, &peers{down: map[string]bool{"first": true, "second": true}}, 3)
+		b := newBiller(&peers{down: map[string]bool{"first": true, "second": true}}, 3)
 		go func() { _ = b.Run(ctx) }()
 		for i := range 3 {
 			if err := b.Reserve(); err != nil {
--- a/internal/gateway/chat.go
+++ b/internal/gateway/chat.go
@@ -356,8 +356,8 @@
 // ParseCost parses the cost of a receipt, which has six decimal places.
 func ParseCost(text string) (pricer.Money, error) {
 	units, fraction, _ := strings.Cut(text, ".")
-	micros, err := strconv.ParseInt(units+fraction, 10, 64)
-	if err != nil || len(fraction) != 6 {
+	micros, err := strconv.ParseUint(units+fraction, 10, 63)
+	if err != nil || units == "" || len(fraction) != 6 {
 		return 0, errors.Errorf("invalid cost %q: want an amount with six decimal places", text)
 	}
 	return pricer.Money(micros), nil
--- a/internal/gateway/parse_test.go
+++ b/internal/gateway/parse_test.go
@@ -42,6 +42,9 @@
 		"no fraction":       {"1", 0, false},
 		"one decimal place": {"1.5", 0, false},
 		"invalid number":    {"x.000000", 0, false},
+		"no units":          {".000000", 0, false},
+		"negative":          {"-1.000000", 0, false},
+		"signed":            {"+1.000000", 0, false},
 	}
 	for name, row := range rows {
 		t.Run(name, func(t *testing.T) {
--- a/internal/tracker/load.go
+++ b/internal/tracker/load.go
@@ -94,7 +94,7 @@
 		if endpoint == nil {
 			continue
 		}
-		if at := now.Add(-load.Age); at.After(endpoint.reportedAt) {
+		if at := now.Add(-max(0, load.Age)); at.After(endpoint.reportedAt) {
 			endpoint.recordLoad(load.Requests, at)
 		}
 	}
--- a/internal/tracker/tracker_test.go
+++ b/internal/tracker/tracker_test.go
@@ -187,6 +187,13 @@
 	if got := tr.BusyLoads(); len(got) != 0 {
 		t.Errorf("BusyLoads() got %+v after a newer report of an idle endpoint, want none", got)
 	}
+	// A report from the future must not outlast those that follow.
+	tr.MergeLoads([]tracker.Load{{ID: choice.ID, Requests: 2, Age: -time.Hour}})
+	c.advance(100 * time.Millisecond)
+	tr.MergeLoads([]tracker.Load{{ID: choice.ID, Requests: 12}})
+	if got := tr.BusyLoads(); len(got) != 1 {
+		t.Errorf("BusyLoads() got %+v after a report from the future and a newer one, want the newer one", got)
+	}
 	c.advance(2 * time.Second)
 	if got := tr.DirectLoads(); len(got) != 0 {
 		t.Errorf("DirectLoads() got %+v two seconds later, want none", got)
