Split the files of relayer and forwarder by job

Cause: relayer.go had 515 lines with roles, calls to the zone reader and answers to other daemons; attempt.go 383 with attempts and the forwarding of whole responses. Change: client.go, handler.go and whole.go hold the parts; code is only moved.

--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -17,12 +17,8 @@
 )
 
 const (
-	// maxBufferedBytes bounds a response that is held in memory as a whole. The body of
-	// a longer one is forwarded as it arrives.
-	maxBufferedBytes = 64 << 10
-	// maxResponseBytes bounds the body of a response, maxRefusalBytes that of a refusal.
-	maxResponseBytes = 32 << 20
-	maxRefusalBytes  = 64 << 10
+	// maxRefusalBytes bounds the body of a refusal.
+	maxRefusalBytes = 64 << 10
 	// maxAttempts bounds the attempts of one request, including those that the
 	// endpoint refuses.
 	maxAttempts = 10
@@ -164,13 +160,6 @@
 	return shared[len(shared)-1].ID, tokens
 }
 
-// bufferedResponse is a response that is held in memory as a whole.
-type bufferedResponse struct {
-	status int
-	header http.Header
-	body   []byte
-}
-
 // tryEndpoint sends the request to one endpoint. A returned response is a
 // server error of the endpoint; it is forwarded to the client if no later
 // attempt succeeds.
@@ -260,93 +249,6 @@
 		"load", choice.Load, "backlog", noter.FormatDuration(choice.Backlog), "expected", noter.FormatDuration(choice.ExpectedTTFT()), "sends", len(c.tried))
 }
 
-// forwardWhole reads a response to its end and forwards it to the client. It
-// forwards a response that is too long for that as it arrives.
-func (c *call) forwardWhole(ctx context.Context, choice *tracker.Choice, response *exchanger.Response, info ResponseInfo) (attemptStatus, *bufferedResponse, *classifier.Error) {
-	body, err := readBuffered(response)
-	if err == nil {
-		err = checkResponse(response.Status, info)
-	}
-	isError := response.Status >= http.StatusInternalServerError
-	if err == nil && len(body) > maxBufferedBytes {
-		if !isError {
-			return c.forwardLong(ctx, choice, response, body)
-		}
-		err = errors.Errorf("body of a server error exceeds %d bytes", maxBufferedBytes)
-	}
-	if err != nil {
-		return statusFailed, nil, c.handleBadResponse(ctx, choice, response, err)
-	}
-	got := &bufferedResponse{status: response.Status, header: c.Codec.ClientHeader(response.Header), body: body}
-	if isError {
-		c.recordResult(choice, ServerError, c.ttft, 0)
-		choice.End(tracker.Failure, 0)
-		c.log("endpoint returned a server error", c.endpointFields(choice, "status", response.Status)...)
-		return statusFailed, got, classifier.New(classifier.EndpointFailed, "endpoint %s failed with status %d", choice.ID, response.Status)
-	}
-	c.recordResult(choice, Completed, c.ttft, 0)
-	choice.End(tracker.Success, 0)
-	response.Close()
-	c.writeResponse(got)
-	c.log("request served", c.endpointFields(choice, "status", response.Status, "took", noter.FormatDuration(c.ttft))...)
-	return statusDone, nil, nil
-}
-
-// readBuffered reads the body of a response, or one byte more than maxBufferedBytes
-// of a longer one. It returns an error if the announced length is over the bound of
-// all responses.
-func readBuffered(response *exchanger.Response) ([]byte, error) {
-	if length := response.ContentLength(); length > maxResponseBytes {
-		return nil, errors.Errorf("body of %d bytes, at most %d are allowed", length, maxResponseBytes)
-	}
-	return io.ReadAll(io.LimitReader(response, maxBufferedBytes+1))
-}
-
-// handleBadResponse records and logs a response that is truncated, corrupt or too
-// long.
-func (c *call) handleBadResponse(ctx context.Context, choice *tracker.Choice, response *exchanger.Response, err error) *classifier.Error {
-	trackerOutcome := tracker.Failure
-	if ctx.Err() != nil {
-		trackerOutcome = tracker.Neutral
-	} else {
-		c.recordResult(choice, Incomplete, 0, 0)
-	}
-	choice.End(trackerOutcome, 0)
-	c.log("response is truncated or corrupt", c.endpointFields(choice, "error", err, "status", response.Status)...)
-	return classifier.Wrap(classifier.EndpointFailed, err, "the response of endpoint %s is truncated or corrupt", choice.ID)
-}
-
-// forwardLong forwards a response whose first bytes have been read. It cannot be
-// retried: if it does not end well, the connection to the client is aborted.
-func (c *call) forwardLong(ctx context.Context, choice *tracker.Choice, response *exchanger.Response, begin []byte) (attemptStatus, *bufferedResponse, *classifier.Error) {
-	c.startResponse(response.Status, c.Codec.ClientHeader(response.Header))
-	total := len(begin)
-	_, writeErr := c.writer.Write(begin)
-	var err error
-	buffer := make([]byte, streamBufferBytes)
-	for err == nil && writeErr == nil {
-		var n int
-		n, err = response.Read(buffer)
-		if total += n; total > maxResponseBytes {
-			err = errors.Errorf("body exceeds %d bytes", maxResponseBytes)
-			break
-		}
-		_, writeErr = c.writer.Write(buffer[:n])
-	}
-	if writeErr != nil {
-		choice.End(tracker.Neutral, 0)
-		return statusAborted, nil, classifier.Wrap(classifier.ClientDisconnected, writeErr, "failed to write to the client")
-	}
-	if !errors.Is(err, io.EOF) {
-		return statusAborted, nil, c.handleBadResponse(ctx, choice, response, err)
-	}
-	c.recordResult(choice, Completed, c.ttft, 0)
-	choice.End(tracker.Success, 0)
-	c.countServed()
-	c.log("long response served", c.endpointFields(choice, "status", response.Status, "bytes", total)...)
-	return statusDone, nil, nil
-}
-
 // checkResponse returns an error if the headers show that a response was not
 // generated by the endpoint or was altered on the way.
 func checkResponse(status int, info ResponseInfo) error {
@@ -358,26 +260,3 @@
 	}
 	return nil
 }
-
-// writeResponse writes a buffered response to the client.
-func (c *call) writeResponse(response *bufferedResponse) {
-	c.countServed()
-	c.startResponse(response.status, response.header)
-	_, _ = c.writer.Write(response.body)
-}
-
-// startResponse writes the head of the response to the client.
-func (c *call) startResponse(status int, head http.Header) {
-	c.responseStarted = true
-	header := c.writer.Header()
-	for name, values := range head {
-		header[name] = values
-	}
-	c.writer.WriteHeader(status)
-}
-
-// countServed counts a request whose response is complete.
-func (c *call) countServed() {
-	c.Counters.Served.Inc()
-	c.Counters.WholeResponse.UpdateDuration(c.arrived)
-}
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -17,9 +17,7 @@
 	"github.com/go-faster/errors"
 	"github.com/hashicorp/go-hclog"
 	"google.golang.org/protobuf/proto"
-	"google.golang.org/protobuf/types/known/durationpb"
 
-	"quetzalgrade.example/quetzalgrade/internal/noter"
 	"quetzalgrade.example/quetzalgrade/internal/subscriber"
 	"quetzalgrade.example/quetzalgrade/internal/tracker"
 	"quetzalgrade.example/quetzalgrade/pkg/schema"
@@ -361,87 +359,6 @@
 	}
 }
 
-// Read implements subscriber.Peer.
-func (r *Relayer) Read(ctx context.Context, topic string, from int64) (subscriber.Page, time.Duration, error) {
-	message, err := callReader(ctx, r, readWait+responseSlack, func(ctx context.Context, reader *readerClients) (*schema.RelayResponse, error) {
-		response, err := reader.relay.Read(ctx, connect.NewRequest(&schema.RelayRequest{
-			Zone: r.Zone, Reader: reader.Name, Topic: topic, From: from, Wait: durationpb.New(readWait),
-		}))
-		if err != nil {
-			return nil, err
-		}
-		return response.Msg, nil
-	})
-	if err != nil {
-		return subscriber.Page{}, 0, err
-	}
-	return decodePage(message), message.GetAge().AsDuration() - message.GetHeld().AsDuration(), nil
-}
-
-// readerClients call the zone reader that this daemon follows.
-type readerClients struct {
-	ZoneReader
-	relay    schemaconnect.RelayServiceClient
-	snapshot schemaconnect.SnapshotServiceClient
-}
-
-func (r *Relayer) newReaderClients(reader ZoneReader) *readerClients {
-	url := "http://" + reader.Address.String()
-	bound := connect.WithReadMaxBytes(maxMessageBytes)
-	return &readerClients{
-		ZoneReader: reader,
-		relay:      schemaconnect.NewRelayServiceClient(r.Client, url, bound),
-		// Snapshots are compressed already.
-		snapshot: schemaconnect.NewSnapshotServiceClient(r.Client, url, bound, connect.WithAcceptCompression("gzip", nil, nil)),
-	}
-}
-
-// maxReaders bounds the zone readers that one read tries.
-const maxReaders = 2
-
-// callReader makes a call to the zone reader. If the reader fails at once, it makes the
-// call to the next one. It returns subscriber.ErrNoPeer if this daemon follows none.
-func callReader[T any](ctx context.Context, r *Relayer, timeout time.Duration, call func(context.Context, *readerClients) (T, error)) (result T, err error) {
-	for range maxReaders {
-		r.awaitRole(ctx)
-		r.mu.Lock()
-		reader := r.readerClients
-		r.mu.Unlock()
-		if reader == nil {
-			return result, subscriber.ErrNoPeer
-		}
-		callCtx, cancel := context.WithTimeout(ctx, timeout)
-		result, err = call(callCtx, reader)
-		cancel()
-		if err == nil {
-			r.relayedReads.Add(1)
-			return result, nil
-		}
-		switch connect.CodeOf(err) {
-		case connect.CodeOutOfRange:
-			return result, errors.Wrap(subscriber.ErrExpired, "read from the zone reader")
-		case connect.CodeFailedPrecondition:
-			return result, errors.Wrap(subscriber.ErrUnread, "read from the zone reader")
-		}
-		if ctx.Err() != nil {
-			break
-		}
-		r.dropReader(reader.ZoneReader, err)
-		if connect.CodeOf(err) == connect.CodeDeadlineExceeded {
-			break
-		}
-	}
-	return result, errors.Wrap(err, "read from the zone reader")
-}
-
-// decodePage converts a response of the RelayService to a page.
-func decodePage(response *schema.RelayResponse) subscriber.Page {
-	// Daemons of an earlier version set no end and always respond with all records.
-	page := subscriber.Page{Next: response.GetNext(), End: max(response.GetNext(), response.GetEnd())}
-	page.Records = decodeRecords(response.GetRecords())
-	return page
-}
-
 // dropReader stops following a zone reader that has failed. The daemon reads the
 // log until another zone reader is known.
 func (r *Relayer) dropReader(reader ZoneReader, err error) {
@@ -463,53 +380,3 @@
 	default:
 	}
 }
-
-// handler serves the requests of other daemons.
-type handler struct{ *Relayer }
-
-// Read implements schemaconnect.RelayServiceHandler. CodeOutOfRange means that the
-// client needs a snapshot, CodeFailedPrecondition that it should read the topic from
-// the log. Any other error means that it should look for another zone reader.
-func (s *handler) Read(ctx context.Context, request *connect.Request[schema.RelayRequest]) (*connect.Response[schema.RelayResponse], error) {
-	started := s.Clock()
-	message := request.Msg
-	topic, err := s.acceptTopic(message.GetZone(), message.GetReader(), message.GetTopic())
-	if err != nil {
-		return nil, err
-	}
-	page, age, err := topic.RecordsFrom(ctx, message.GetFrom(), min(maxWait, message.GetWait().AsDuration()))
-	switch {
-	case errors.Is(err, subscriber.ErrExpired):
-		return nil, connect.NewError(connect.CodeOutOfRange, err)
-	case errors.Is(err, subscriber.ErrUnread):
-		return nil, connect.NewError(connect.CodeFailedPrecondition, err)
-	case err != nil:
-		return nil, connect.NewError(connect.CodeUnavailable, err)
-	}
-	response := &schema.RelayResponse{Next: page.Next, End: page.End, Age: durationpb.New(age), Held: durationpb.New(s.Clock() - started)}
-	response.Records = encodeRecords(page.Records)
-	s.Logger.Trace("served page to another daemon", "topic", message.GetTopic(), "from", message.GetFrom(), "next", page.Next, "age", noter.FormatDuration(age))
-	return connect.NewResponse(response), nil
-}
-
-// acceptTopic returns the topic of a request for records, or an error if this daemon
-// does not serve it.
-func (s *handler) acceptTopic(zone, reader, name string) (*subscriber.Subscriber, error) {
-	topic := s.topics[name]
-	if topic == nil || zone != s.Zone || reader != s.Self.Name {
-		return nil, connect.NewError(connect.CodeNotFound, errors.New("request is for another zone, daemon or topic"))
-	}
-	if !s.acceptRequest() {
-		return nil, connect.NewError(connect.CodeUnavailable, errors.New("this daemon is not the zone reader"))
-	}
-	return topic, nil
-}
-
-// acceptRequest reports whether this daemon serves others as the zone reader, and
-// records the time of the request.
-func (s *handler) acceptRequest() bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.lastRequest = s.Clock()
-	return (s.role == Reading || s.role == Claiming) && !s.draining.Load()
-}
