Rank preferred endpoints in one pass

Cause: the affinity ranks compared each endpoint with every other on each choice, although only the first two are told apart from the rest.

--- a/Makefile
+++ b/Makefile
@@ -53,9 +53,10 @@
 	MEASURE_SEEDS=$(MEASURE_SEEDS) MEASURE_OUT=$(MEASURE_OUT) go test -count=1 -timeout 60m -run TestMeasure ./internal/measurer
 	cat docs/measures.head $(MEASURE_OUT)/*.md > docs/MEASURES.md
 
-# Times the request path against a plain pass-through in the same run.
+# Times the request path against a plain pass-through in the same run, and the
+# choice of an endpoint by the number of endpoints.
 bench:
-	go test -run '^$$' -bench . -benchmem ./internal/benchmarker ./platform
+	go test -run '^$$' -bench . -benchmem ./internal/benchmarker ./internal/tracker ./platform
 
 # Installs the pinned language server, whose command line renames identifiers
 # with all of their uses: gopls rename -w FILE:LINE:COLUMN NAME.
--- a/internal/tracker/choice.go
+++ b/internal/tracker/choice.go
@@ -114,33 +114,41 @@
 	}
 	sharedPrefill := t.prefillTime(query.Model, query.SharedTokens)
 	for i, rank := range affinityRanks(endpoints, query) {
-		candidates[i].UncachedPrefill = time.Duration(min(1, uncachedSharePerRank*float64(rank)) * float64(sharedPrefill))
+		candidates[i].UncachedPrefill = time.Duration(uncachedShares[rank] * float64(sharedPrefill))
 	}
 	return candidates
 }
 
-// uncachedSharePerRank is the share of a shared prefix that the endpoint of the
-// second affinity rank is expected not to have cached; that of the third rank is
-// expected to have cached nothing.
-const uncachedSharePerRank = 0.5
+// uncachedShares are the shares of a shared prefix that the endpoints of the first and
+// the second affinity rank, and all others, are expected not to have cached.
+var uncachedShares = [...]float64{0, 0.5, 1}
 
 // affinityRanks returns for each endpoint its rank among the preferred endpoints
 // of the query's prefix, by rendezvous hashing. All daemons compute the same
-// ranks, so that few endpoints prefill the same prefix.
+// ranks, so that few endpoints prefill the same prefix. The ranks after the second
+// are not told apart, so that the time grows with the number of endpoints only.
 func affinityRanks(endpoints []*endpointState, query Query) []int {
-	model := xxhash.Sum64String(query.Model)
-	scores := make([]uint64, len(endpoints))
-	for i, endpoint := range endpoints {
-		scores[i] = splitMix64(endpoint.idHash ^ splitMix64(query.PrefixKey^model))
-	}
+	prefix := splitMix64(query.PrefixKey ^ xxhash.Sum64String(query.Model))
 	ranks := make([]int, len(endpoints))
-	for i, score := range scores {
-		for _, other := range scores {
-			if other > score {
-				ranks[i]++
-			}
+	first, second := -1, -1
+	var firstScore, secondScore uint64
+	for i, endpoint := range endpoints {
+		ranks[i] = len(uncachedShares) - 1
+		score := splitMix64(endpoint.idHash ^ prefix)
+		switch {
+		case first < 0 || score > firstScore:
+			second, secondScore = first, firstScore
+			first, firstScore = i, score
+		case second < 0 || score > secondScore:
+			second, secondScore = i, score
 		}
 	}
+	if first >= 0 {
+		ranks[first] = 0
+	}
+	if second >= 0 {
+		ranks[second] = 1
+	}
 	return ranks
 }
 
