--- a/internal/relayer/snapshot.go
+++ b/internal/relayer/snapshot.go
@@ -66,7 +66,7 @@
 func (s *handler) Newest(ctx context.Context, request *connect.Request[schema.SnapshotRequest]) (*connect.Response[schema.SnapshotResponse], error) {
 	started := s.Clock()
 	message := request.Msg
-	topic, err := s.acceptTopic(message.GetZone(), message.GetReader(), message.GetTopic())
+	topic, err := s.acceptTopic(ctx, message.GetZone(), message.GetReader(), message.GetTopic())
 	if err != nil {
 		return nil, err
 	}
