--- a/internal/promoter/speed_test.go
+++ b/internal/promoter/speed_test.go
@@ -8,26 +8,32 @@
 	"quetzalgrade.example/quetzalgrade/internal/promoter"
 )
 
-// trial simulates a canary of 24 s with results at a rate, spread over daemons, and
-// returns the state in which it ends. slowdown multiplies the times of the new
-// version's results from slowFrom on, coldShare of which wait for a cold cache.
+// trial describes a simulated canary.
 type trial struct {
-	rate      float64
+	// rate is the number of results of the new version a second, over all daemons.
+	rate float64
+	// slowShare is the share of these results that take slowFactor times as long, from
+	// slowFrom on.
 	slowShare float64
 	slowFrom  time.Duration
+	// coldShare is the share of these results whose prompt is not cached, if it is
+	// greater than missShare.
 	coldShare float64
 	// ttftOnly and paceOnly limit the slowness to one of the two times.
 	ttftOnly, paceOnly bool
 }
 
-// times of the old version: a cached prompt, and one that must be prefilled.
 const (
+	// cachedTTFT and prefillTTFT are the expected times of the old version for a cached
+	// prompt and for one that must be prefilled, missShare the share of the latter.
 	cachedTTFT  = 60 * time.Millisecond
 	prefillTTFT = 400 * time.Millisecond
 	missShare   = 0.2
 	slowFactor  = 8
 )
 
+// randomTiming returns the times of a response of the old version. misses is the share
+// of prompts that must be prefilled.
 func randomTiming(random *rand.Rand, misses float64) promoter.Timing {
 	expected := cachedTTFT
 	if random.Float64() < misses {
@@ -39,6 +45,7 @@
 	return promoter.Timing{TTFT: jitter(expected), ExpectedTTFT: expected, DecodePace: jitter(20 * time.Millisecond)}
 }
 
+// run simulates the canary and returns the state in which it ends.
 func (tr trial) run(random *rand.Rand) promoter.State {
 	const daemons = 8
 	var baselines [daemons]promoter.Baseline
