Notice a zone reader whose host is down within 150 ms

Change: relayer opens its connections itself, within 150 ms; daemons that notice a failure at once look for the next reader within 150 ms instead of 300.

--- a/internal/relayer/client.go
+++ b/internal/relayer/client.go
@@ -42,9 +42,9 @@
 	bound := connect.WithReadMaxBytes(maxMessageBytes)
 	return &readerClients{
 		ZoneReader: reader,
-		relay:      schemaconnect.NewRelayServiceClient(r.Client, url, bound),
+		relay:      schemaconnect.NewRelayServiceClient(r.client, url, bound),
 		// Snapshots are compressed already.
-		snapshot: schemaconnect.NewSnapshotServiceClient(r.Client, url, bound, connect.WithAcceptCompression("gzip", nil, nil)),
+		snapshot: schemaconnect.NewSnapshotServiceClient(r.client, url, bound, connect.WithAcceptCompression("gzip", nil, nil)),
 	}
 }
 
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -7,6 +7,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"net/netip"
 	"sync"
@@ -18,6 +19,7 @@
 	"github.com/hashicorp/go-hclog"
 	"google.golang.org/protobuf/proto"
 
+	"quetzalgrade.example/quetzalgrade/internal/connector"
 	"quetzalgrade.example/quetzalgrade/internal/subscriber"
 	"quetzalgrade.example/quetzalgrade/internal/tracker"
 	"quetzalgrade.example/quetzalgrade/pkg/schema"
@@ -38,7 +40,7 @@
 	// failureJitter spreads the checks of daemons that notice at once that their zone
 	// reader has failed, and roleWait is how long their reads, and those of a daemon that
 	// starts, wait for a check. The view of such daemons is recent.
-	failureJitter = 300 * time.Millisecond
+	failureJitter = 150 * time.Millisecond
 	roleWait      = 700 * time.Millisecond
 	// checkJitter spreads the checks of daemons that lose their zone reader at the same
 	// time, so that later ones find the record of the first.
@@ -49,6 +51,9 @@
 	claimJitter = 50 * time.Millisecond
 	// maxMessageBytes bounds a message from another daemon.
 	maxMessageBytes = 1 << 20
+	// dialTimeout bounds the opening of a connection to the zone reader, so that a host
+	// that is down is noticed soon. It is far above a round trip within a zone.
+	dialTimeout = 150 * time.Millisecond
 	// checkTimeout bounds one check for the zone reader in the log.
 	checkTimeout = 1500 * time.Millisecond
 	// idleCheckInterval is the time without a request after which the zone reader
@@ -82,8 +87,9 @@
 	Zone        string
 	Self        ZoneReader
 	ReaderTopic ReaderTopic
-	Client      *http.Client
-	Clock       subscriber.Clock
+	// Network opens the connections to the zone reader.
+	Network connector.Network
+	Clock   subscriber.Clock
 	// LoadTracker provides the loads that are exchanged with the zone reader.
 	LoadTracker LoadTracker
 	Logger      hclog.Logger
@@ -93,6 +99,7 @@
 // zone reader. It implements subscriber.Peer.
 type Relayer struct {
 	Options
+	client *http.Client
 	topics map[string]*subscriber.Subscriber
 	// snapshots holds the encoded snapshot of each topic.
 	snapshots map[string]*snapshotCache
@@ -120,6 +127,7 @@
 func New(options Options) *Relayer {
 	return &Relayer{
 		Options:      options,
+		client:       newClient(options.Network),
 		topics:       map[string]*subscriber.Subscriber{},
 		snapshots:    map[string]*snapshotCache{},
 		readerFailed: make(chan struct{}, 1),
@@ -127,6 +135,18 @@
 	}
 }
 
+// newClient returns a client whose connections are opened within dialTimeout.
+func newClient(network connector.Network) *http.Client {
+	transport := connector.NewTransport(network)
+	dial := transport.DialContext
+	transport.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
+		ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+		defer cancel()
+		return dial(ctx, network, address)
+	}
+	return &http.Client{Transport: transport}
+}
+
 // ShareTopics makes the topics' subscribers read from the zone reader first, and
 // serves what they have read to other daemons. It must be called before Run.
 func (r *Relayer) ShareTopics(topics ...*subscriber.Subscriber) {
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -177,7 +177,7 @@
 		Zone:        settings.Zone,
 		Self:        relayer.ZoneReader{Name: settings.Name, Address: settings.RelayAddress},
 		ReaderTopic: r.deps.ReaderTopic,
-		Client:      &http.Client{Transport: connector.NewTransport(r.deps.Network)},
+		Network:     r.deps.Network,
 		Clock:       r.deps.Clock,
 		LoadTracker: r.tracker,
 		Logger:      r.logger,
