--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -137,6 +137,17 @@
 	})
 }
 
+// endIncomplete ends an attempt whose response has begun but is not usable. It counts
+// against the endpoint unless the request ended first.
+func (c *call) endIncomplete(ctx context.Context, choice *tracker.Choice) {
+	if ctx.Err() != nil {
+		choice.End(tracker.Neutral, 0)
+		return
+	}
+	c.recordResult(choice, Incomplete, 0, 0)
+	choice.End(tracker.Failure, 0)
+}
+
 // model returns the model to run the request on, or an empty string if the
 // client has chosen one.
 func (c *call) model() string {
--- a/internal/forwarder/stream.go
+++ b/internal/forwarder/stream.go
@@ -142,13 +142,7 @@
 
 // handleBrokenStream handles a stream that was truncated, aborted or corrupt.
 func (c *call) handleBrokenStream(ctx context.Context, choice *tracker.Choice, err error, events *eventBuffer) (attemptStatus, *bufferedResponse, *classifier.Error) {
-	trackerOutcome := tracker.Failure
-	if ctx.Err() != nil {
-		trackerOutcome = tracker.Neutral
-	} else {
-		c.recordResult(choice, Incomplete, 0, 0)
-	}
-	choice.End(trackerOutcome, 0)
+	c.endIncomplete(ctx, choice)
 	c.log("endpoint's stream is truncated, aborted or corrupt", c.endpointFields(choice, "error", err, "events", events.count, "after", c.lastEventID)...)
 	c.Counters.Resumes.Inc()
 	return statusFailed, nil, classifier.Wrap(classifier.EndpointFailed, err, "the stream of endpoint %s is truncated, aborted or corrupt", choice.ID)
--- a/internal/forwarder/whole.go
+++ b/internal/forwarder/whole.go
@@ -73,13 +73,7 @@
 // handleBadResponse records and logs a response that is truncated, corrupt or too
 // long.
 func (c *call) handleBadResponse(ctx context.Context, choice *tracker.Choice, response *exchanger.Response, err error) *classifier.Error {
-	trackerOutcome := tracker.Failure
-	if ctx.Err() != nil {
-		trackerOutcome = tracker.Neutral
-	} else {
-		c.recordResult(choice, Incomplete, 0, 0)
-	}
-	choice.End(trackerOutcome, 0)
+	c.endIncomplete(ctx, choice)
 	c.log("response is truncated or corrupt", c.endpointFields(choice, "error", err, "status", response.Status)...)
 	return classifier.Wrap(classifier.EndpointFailed, err, "the response of endpoint %s is truncated or corrupt", choice.ID)
 }
--- a/internal/relayer/handler.go
+++ b/internal/relayer/handler.go
@@ -21,7 +21,7 @@
 func (s *handler) Read(ctx context.Context, request *connect.Request[schema.RelayRequest]) (*connect.Response[schema.RelayResponse], error) {
 	started := s.Clock()
 	message := request.Msg
-	topic, err := s.acceptTopic(ctx, message.GetZone(), message.GetReader(), message.GetTopic())
+	topic, err := s.acceptTopic(ctx, message)
 	if err != nil {
 		return nil, err
 	}
@@ -40,12 +40,19 @@
 	return connect.NewResponse(response), nil
 }
 
+// topicRequest is a request for the records of a topic.
+type topicRequest interface {
+	GetZone() string
+	GetReader() string
+	GetTopic() string
+}
+
 // acceptTopic returns the topic of a request for records, or an error if this daemon
 // does not serve it. A daemon that has just started may be the zone reader again, so
 // the request waits until it knows.
-func (s *handler) acceptTopic(ctx context.Context, zone, reader, name string) (*subscriber.Subscriber, error) {
-	topic := s.topics[name]
-	if topic == nil || zone != s.Zone || reader != s.Self.Name {
+func (s *handler) acceptTopic(ctx context.Context, request topicRequest) (*subscriber.Subscriber, error) {
+	topic := s.topics[request.GetTopic()]
+	if topic == nil || request.GetZone() != s.Zone || request.GetReader() != s.Self.Name {
 		return nil, connect.NewError(connect.CodeNotFound, errors.New("request is for another zone, daemon or topic"))
 	}
 	s.awaitRole(ctx)
--- a/internal/relayer/snapshot.go
+++ b/internal/relayer/snapshot.go
@@ -65,8 +65,7 @@
 // that the client should read the topic from the log, as for Read.
 func (s *handler) Newest(ctx context.Context, request *connect.Request[schema.SnapshotRequest]) (*connect.Response[schema.SnapshotResponse], error) {
 	started := s.Clock()
-	message := request.Msg
-	topic, err := s.acceptTopic(ctx, message.GetZone(), message.GetReader(), message.GetTopic())
+	topic, err := s.acceptTopic(ctx, request.Msg)
 	if err != nil {
 		return nil, err
 	}
