Evaluate the reports on a rollout once a page

Cause: each report of a page made a daemon pool those of all daemons anew, and since sums are reported every 3 s there are as many reports as daemons: work with the square of the fleet.

--- a/internal/runner/rollouts.go
+++ b/internal/runner/rollouts.go
@@ -202,6 +202,7 @@
 func (m *rolloutManager) applyReports(change subscriber.Change) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	changed := map[*rolloutState]bool{}
 	for _, record := range change.Records {
 		report := &schema.RolloutReport{}
 		if err := proto.Unmarshal(record.Value, report); err != nil {
@@ -217,6 +218,10 @@
 		for _, digest := range report.GetSessions() {
 			rollout.peerOldVersionSessions[digest] = true
 		}
+		changed[rollout] = true
+	}
+	// Each evaluation takes time in proportion to the number of daemons.
+	for rollout := range changed {
 		m.evaluate(rollout)
 	}
 }
