Name the shared parts of the prompt in the log of each attempt

Cause: not known; the log could not tell a crash by content from one by retries or load. Change: each line on an attempt has the field parts. Result: no change of behaviour; the hypotheses are told apart.

--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -157,14 +158,19 @@
 	return c.route.Models[c.size]
 }
 
-// sharedPrefix returns the prefix key of the parts of the prompt that the
-// request shares with others, and their length in tokens. The last part of a
-// prompt is not shared.
+// sharedParts returns the parts of the prompt that the request may share with others,
+// which are all but the last one.
+func (c *call) sharedParts() []PromptPart {
+	return c.PromptParts[:max(0, len(c.PromptParts)-1)]
+}
+
+// sharedPrefix returns the prefix key of the shared parts of the prompt, and their
+// length in tokens.
 func (c *call) sharedPrefix() (key uint64, tokens int) {
-	if !c.route.PrefixAffinity || len(c.PromptParts) < 2 {
+	shared := c.sharedParts()
+	if !c.route.PrefixAffinity || len(shared) == 0 {
 		return 0, 0
 	}
-	shared := c.PromptParts[:len(c.PromptParts)-1]
 	for _, part := range shared {
 		tokens += part.Tokens
 	}
@@ -257,7 +263,21 @@
 // endpointFields appends the log fields of an attempt at an endpoint to args.
 func (c *call) endpointFields(choice *tracker.Choice, args ...any) []any {
 	return append(args, "endpoint", choice.ID, "address", choice.Address, "version", choice.Version, "model", c.model(),
-		"load", choice.Load, "backlog", noter.FormatDuration(choice.Backlog), "expected", noter.FormatDuration(choice.ExpectedTTFT()), "sends", len(c.tried))
+		"load", choice.Load, "backlog", noter.FormatDuration(choice.Backlog), "expected", noter.FormatDuration(choice.ExpectedTTFT()), "sends", len(c.tried),
+		"parts", formatParts(c.sharedParts()))
+}
+
+// formatParts returns the ids of parts as in the request's header, separated by
+// commas.
+func formatParts(parts []PromptPart) string {
+	var text []byte
+	for i, part := range parts {
+		if i > 0 {
+			text = append(text, ',')
+		}
+		text = strconv.AppendUint(text, part.ID, 16)
+	}
+	return string(text)
 }
 
 // checkResponse returns an error if the headers show that a response was not
