Spread observed facts by gossip, and move the probing into a package

Cause: daemons on the platform share only loads with the zone reader, and reports on rollouts through the log, which may be away. Change: gossiper holds facts with a version, an age and a lifetime, and spreads them as urgent rumours; daemons whose digests differ exchange all of them. The loops that drive a membership move from server to prober, so that the entry daemon can use them too; the urgent round now probes its members at the same time. Why it works: a rumour reaches all members in a few rounds, and the digests repair what a cut or a restart missed, without the log.

--- a/internal/gossiper/gossiper.go
+++ b/internal/gossiper/gossiper.go
@@ -1,6 +1,7 @@
 // Package gossiper implements a gossip protocol that maintains the membership of
 // the daemons. It probes one random member at a time and piggybacks rumours on the
-// probes: updates about members, stopped versions and draining endpoints. The
+// probes: updates about members, stopped versions, draining endpoints, and facts that
+// one daemon has observed and all act on. The
 // package does no I/O and reads no clock: the time and the random source are
 // arguments, and the messages are returned to the caller, which sends them.
 //
@@ -28,6 +29,8 @@
 	deadRetention = 10 * time.Minute
 	// maxRumours limits the rumours of each kind in one message.
 	maxRumours = 24
+	// maxFactRumours limits the facts in one message that does not carry all.
+	maxFactRumours = 256
 	// transmitMultiplier times log2(members) is the number of messages that
 	// carry a rumour.
 	transmitMultiplier = 3
@@ -76,8 +79,12 @@
 	Members           bool
 	StoppedVersions   []StoppedVersion
 	DrainingEndpoints []string
+	// Facts are the facts that are new or newer.
+	Facts []Fact
+	// FactsDiffer is set if the sender's facts are not the same as this daemon's.
+	FactsDiffer bool
 	// Urgent is set for a change that must reach every member within seconds:
-	// a stopped version, a draining endpoint or a newer configuration revision.
+	// a stopped version, a draining endpoint, a fact or a newer configuration revision.
 	Urgent bool
 }
 
@@ -88,6 +95,8 @@
 	members           map[string]*Member
 	stoppedVersions   map[string]StoppedVersion
 	drainingEndpoints map[string]time.Time
+	// facts holds the facts by their key.
+	facts map[string]Fact
 	// remainingTransmits is the number of further messages that carry a
 	// rumour, by the key of the rumour.
 	remainingTransmits map[string]int
@@ -105,6 +114,7 @@
 		members:            map[string]*Member{},
 		stoppedVersions:    map[string]StoppedVersion{},
 		drainingEndpoints:  map[string]time.Time{},
+		facts:              map[string]Fact{},
 		remainingTransmits: map[string]int{},
 	}
 	return m
@@ -113,6 +123,14 @@
 // Self returns this daemon's own entry.
 func (m *Membership) Self() Member { return m.self }
 
+// Member returns the named member, which is not this daemon.
+func (m *Membership) Member(name string) (Member, bool) {
+	if member := m.members[name]; member != nil {
+		return *member, true
+	}
+	return Member{}, false
+}
+
 // Members returns all members including this daemon, sorted by name.
 func (m *Membership) Members() []Member {
 	list := []Member{m.self}
@@ -278,7 +296,7 @@
 }
 
 // Tick marks suspect members that did not refute the suspicion in time as dead,
-// and removes expired members and draining endpoints. It reports whether a member
+// and removes expired members, draining endpoints and facts. It reports whether a member
 // changed or was removed.
 func (m *Membership) Tick(now time.Time) bool {
 	changed := false
@@ -299,6 +317,7 @@
 			delete(m.drainingEndpoints, endpoint)
 		}
 	}
+	m.removeExpiredFacts(now)
 	return changed
 }
 
@@ -334,6 +353,12 @@
 			changes.DrainingEndpoints = append(changes.DrainingEndpoints, received.GetEndpoint())
 		}
 	}
+	for _, received := range rumours.GetFacts() {
+		if fact, added := m.addFact(received, now); added {
+			changes.Facts = append(changes.Facts, fact)
+		}
+	}
+	changes.FactsDiffer = rumours.GetDigest() != m.factDigest()
 	changes.Urgent = m.isUrgent(rumours, changes)
 	return changes
 }
@@ -341,7 +366,7 @@
 // isUrgent reports whether the changes, or a newer revision in the rumours, must
 // be passed on at once. It also updates the newest revision.
 func (m *Membership) isUrgent(rumours *schema.Rumours, changes Changes) bool {
-	urgent := len(changes.StoppedVersions) > 0 || len(changes.DrainingEndpoints) > 0
+	urgent := len(changes.StoppedVersions) > 0 || len(changes.DrainingEndpoints) > 0 || len(changes.Facts) > 0
 	for _, received := range rumours.GetMembers() {
 		if received.GetRevision() > m.newestRevision {
 			m.newestRevision = received.GetRevision()
@@ -420,8 +445,8 @@
 // daemon receives all rumours. A recipient that is not marked as alive receives
 // its own entry, because the other daemons correct that entry only after the
 // recipient has raised its sequence.
-func (m *Membership) RumoursFor(recipient string, joining bool) *schema.Rumours {
-	rumours := &schema.Rumours{Members: []*schema.Member{m.self.message()}}
+func (m *Membership) RumoursFor(recipient string, joining bool, now time.Time) *schema.Rumours {
+	rumours := &schema.Rumours{Members: []*schema.Member{m.self.message()}, Facts: m.factRumours(joining, now), Digest: m.factDigest()}
 	m.remainingTransmits["member/"+m.self.Name] = 0
 	if member := m.members[recipient]; member != nil && member.Status != schema.Status_STATUS_ALIVE && !joining {
 		rumours.Members = append(rumours.Members, member.message())
--- a/internal/gossiper/gossiper_test.go
+++ b/internal/gossiper/gossiper_test.go
@@ -43,8 +43,8 @@
 	membership := gossiper.New(member)
 	if len(c.names) > 0 {
 		seed := c.memberships[c.names[0]]
-		seed.Receive(membership.RumoursFor(c.names[0], true), c.now)
-		membership.Receive(seed.RumoursFor(name, true), c.now)
+		seed.Receive(membership.RumoursFor(c.names[0], true, c.now), c.now)
+		membership.Receive(seed.RumoursFor(name, true, c.now), c.now)
 	}
 	c.memberships[name] = membership
 	c.names = append(c.names, name)
@@ -81,9 +81,13 @@
 	if receiver == nil || c.partitioned(from, to) {
 		return
 	}
-	urgent := receiver.Receive(sender.RumoursFor(to, false), c.now).Urgent
-	backUrgent := sender.Receive(receiver.RumoursFor(from, false), c.now).Urgent
-	if urgent {
+	changes := receiver.Receive(sender.RumoursFor(to, false, c.now), c.now)
+	response := receiver.RumoursFor(from, false, c.now)
+	if changes.FactsDiffer {
+		response.Facts = receiver.FactMessages(c.now)
+	}
+	backUrgent := sender.Receive(response, c.now).Urgent
+	if changes.Urgent {
 		c.fanOut(to)
 	}
 	if backUrgent {
--- a/internal/server/loops.go
+++ b/internal/server/loops.go
@@ -9,24 +9,20 @@
 	"time"
 
 	"connectrpc.com/connect"
-	"github.com/go-faster/errors"
 	"google.golang.org/protobuf/types/known/timestamppb"
 
 	"quetzalgrade.example/quetzalgrade/internal/compiler"
 	"quetzalgrade.example/quetzalgrade/internal/configurator"
 	"quetzalgrade.example/quetzalgrade/internal/gossiper"
+	"quetzalgrade.example/quetzalgrade/internal/prober"
 	"quetzalgrade.example/quetzalgrade/internal/sender"
 	"quetzalgrade.example/quetzalgrade/pkg/schema"
 	"quetzalgrade.example/quetzalgrade/pkg/schema/schemaconnect"
 )
 
 const (
-	// probeInterval is the mean time between two probes that a daemon sends.
-	probeInterval = time.Second
-	probeTimeout  = 500 * time.Millisecond
-	// indirectProbes is the number of members that are asked to probe a member
-	// that did not respond to a direct probe.
-	indirectProbes = 2
+	// peerTimeout bounds a call of another daemon or of the platform's list.
+	peerTimeout = 500 * time.Millisecond
 	// instanceListInterval is how often the daemon reads the platform's list of
 	// instances.
 	instanceListInterval = 5 * time.Second
@@ -61,131 +57,36 @@
 	}
 }
 
-// runGossip joins the cluster, then probes one member per probeInterval. While
-// it has no member to probe it tries to join again.
-func (s *Server) runGossip(ctx context.Context) error {
-	s.join(ctx)
-	random := rand.New(rand.NewPCG(s.config.RandomSeed, s.config.Incarnation))
-	return runPeriodically(ctx, probeInterval, func(ctx context.Context) {
-		var target gossiper.Member
-		var found bool
-		var probers []gossiper.Member
-		err := s.members.Do(ctx, func(state *gossiper.Membership) {
-			if target, found = state.NextProbeTarget(random); found {
-				probers = state.ProbeHelpers(target.Name, indirectProbes, random)
-			}
-		})
-		if err != nil {
-			return
-		}
-		if !found {
-			s.join(ctx)
-			return
-		}
-		s.checkMember(ctx, target, probers)
-	})
-}
-
-// checkMember probes a member directly and then through other members. If no
-// probe reaches the member, it records the member as unreachable.
-func (s *Server) checkMember(ctx context.Context, target gossiper.Member, probers []gossiper.Member) {
-	if s.probe(ctx, target, false) == nil {
-		return
-	}
-	for _, prober := range probers {
-		if s.probeIndirectly(ctx, prober, target.Name) {
-			return
-		}
-	}
-	s.members.Enqueue(func(state *gossiper.Membership) { state.MarkUnreachable(target.Name, time.Now()) })
-}
-
-// probe sends a probe with rumours to a member and applies the rumours of the
-// response.
-func (s *Server) probe(ctx context.Context, target gossiper.Member, join bool) error {
-	var rumours *schema.Rumours
-	err := s.members.Do(ctx, func(state *gossiper.Membership) { rumours = state.RumoursFor(target.Name, false) })
-	if err != nil {
-		return err
-	}
-	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
-	defer cancel()
-	response, err := s.peers.clientFor(target.Address).Probe(ctx, connect.NewRequest(&schema.ProbeRequest{
-		Sender:  s.senderInfo(),
-		Rumours: rumours,
-		Join:    join,
-	}))
-	if err != nil {
-		return err
-	}
-	if response.Msg.GetSender().GetCluster() != s.config.Cluster {
-		return errors.Errorf("member %s belongs to cluster %q", target.Name, response.Msg.GetSender().GetCluster())
-	}
-	s.members.Enqueue(func(state *gossiper.Membership) {
-		now := time.Now()
-		s.handleChanges(state.Receive(response.Msg.GetRumours(), now))
-		state.MarkReachable(response.Msg.GetSender().GetName(), response.Msg.GetSender().GetIncarnation(), now)
+// newProber returns the prober that keeps this daemon in contact with the others.
+func (s *Server) newProber() *prober.Prober {
+	return prober.New(prober.Options{
+		Members:       s.members,
+		Self:          s.senderInfo(),
+		Connect:       func(address netip.AddrPort) prober.Client { return s.peers.clientFor(address) },
+		Seeds:         s.seedPeers,
+		HandleChanges: s.logChanges,
+		BeforeUrgent: func(ctx context.Context) {
+			snapshot := s.members.Snapshot()
+			s.watcher.SetDraining(snapshot.departures)
+			s.catchUpConfiguration(ctx, snapshot)
+		},
+		Seed: s.config.RandomSeed,
 	})
-	return nil
-}
-
-// probeIndirectly asks another member to probe the target. It reports whether
-// that member reached the target.
-func (s *Server) probeIndirectly(ctx context.Context, prober gossiper.Member, target string) bool {
-	ctx, cancel := context.WithTimeout(ctx, 2*probeTimeout)
-	defer cancel()
-	response, err := s.peers.clientFor(prober.Address).Probe(ctx, connect.NewRequest(&schema.ProbeRequest{Sender: s.senderInfo(), Target: target}))
-	return err == nil && response.Msg.GetReached()
 }
 
-// triggerUrgentGossip makes runUrgentGossip send urgent rumours without waiting
-// for the next periodic probe.
-func (s *Server) triggerUrgentGossip() {
-	select {
-	case s.urgentGossip <- struct{}{}:
-	default:
-	}
-}
-
-// urgentGossipInterval is the minimum time between two rounds of urgent gossip.
-const urgentGossipInterval = 100 * time.Millisecond
-
-// runUrgentGossip probes a few members each time an urgent rumour arrives, so
-// that the rumour spreads faster than with periodic probes alone.
-func (s *Server) runUrgentGossip(ctx context.Context) error {
-	random := rand.New(rand.NewPCG(s.config.RandomSeed, s.config.Incarnation+1))
-	for {
-		select {
-		case <-s.urgentGossip:
-		case <-ctx.Done():
-			return ctx.Err()
-		}
-		s.catchUpConfiguration(ctx, s.members.Snapshot())
-		var members []gossiper.Member
-		_ = s.members.Do(ctx, func(state *gossiper.Membership) { members = state.FanoutTargets(random) })
-		for _, member := range members {
-			_ = s.probe(ctx, member, false)
-		}
-		s.watcher.SetDraining(s.members.Snapshot().departures)
-		sleep(ctx, urgentGossipInterval)
-	}
-}
-
-// join probes the seed peers of the settings to learn the members.
-func (s *Server) join(ctx context.Context) {
+// seedPeers returns the seed peers of the settings other than this daemon.
+func (s *Server) seedPeers() []netip.AddrPort {
+	var seeds []netip.AddrPort
 	for _, seed := range s.config.SeedPeers {
 		if seed != s.Addresses().Peers {
-			_ = s.probe(ctx, gossiper.Member{Address: seed}, true)
+			seeds = append(seeds, seed)
 		}
 	}
+	return seeds
 }
 
-// handleChanges logs the changes that received rumours caused and forwards
-// urgent ones. It runs inside the membership's actor.
-func (s *Server) handleChanges(changes gossiper.Changes) {
-	if changes.Urgent {
-		s.triggerUrgentGossip()
-	}
+// logChanges logs the changes that received rumours caused.
+func (s *Server) logChanges(changes gossiper.Changes) {
 	for _, stop := range changes.StoppedVersions {
 		s.logger.Warn("version stopped by a peer", "version", stop.Version, "reason", stop.Reason, "origin", stop.Origin)
 	}
@@ -198,7 +99,7 @@
 func (s *Server) pollInstanceList(ctx context.Context) error {
 	client := schemaconnect.NewInstanceServiceClient(&http.Client{Transport: s.transport}, "http://"+s.config.InstanceListAddr.String())
 	poll := func(ctx context.Context) {
-		ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+		ctx, cancel := context.WithTimeout(ctx, peerTimeout)
 		defer cancel()
 		response, err := client.List(ctx, connect.NewRequest(&schema.ListRequest{Cluster: s.config.Cluster}))
 		if err == nil {
@@ -322,7 +223,7 @@
 	}
 	s.followers[configurator.Stream].PollNow()
 	peer := ahead[rand.IntN(len(ahead))]
-	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
 	defer cancel()
 	response, err := s.peers.clientFor(peer.Address).Fetch(ctx, connect.NewRequest(&schema.FetchRequest{Sender: s.senderInfo(), Above: current}))
 	if err != nil || response.Msg.GetRevision() == nil {
--- a/internal/server/peer.go
+++ b/internal/server/peer.go
@@ -168,7 +168,7 @@
 				continue
 			}
 			asked++
-			callCtx, cancel := context.WithTimeout(ctx, probeTimeout)
+			callCtx, cancel := context.WithTimeout(ctx, peerTimeout)
 			response, err := t.s.peers.clientFor(member.Address).Transfer(callCtx, connect.NewRequest(&schema.TransferRequest{
 				Sender:   t.s.senderInfo(),
 				Resource: resource,
@@ -277,20 +277,11 @@
 	if err := p.checkSender(message.GetSender()); err != nil {
 		return nil, err
 	}
-	response := &schema.ProbeResponse{Sender: p.s.senderInfo()}
-	if message.GetTarget() != "" {
-		if member, ok := p.s.memberByName(message.GetTarget()); ok {
-			response.Reached = p.s.probe(ctx, member, false) == nil
-		}
-		return connect.NewResponse(response), nil
+	response, err := p.s.prober.Answer(ctx, message)
+	if err != nil {
+		return nil, err
 	}
-	err := p.s.members.Do(ctx, func(state *gossiper.Membership) {
-		now := time.Now()
-		p.s.handleChanges(state.Receive(message.GetRumours(), now))
-		state.MarkReachable(message.GetSender().GetName(), message.GetSender().GetIncarnation(), now)
-		response.Rumours = state.RumoursFor(message.GetSender().GetName(), message.GetJoin())
-	})
-	return connect.NewResponse(response), err
+	return connect.NewResponse(response), nil
 }
 
 // Fetch returns the revision in force if it is newer than the sender's.
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -33,6 +33,7 @@
 	"quetzalgrade.example/quetzalgrade/internal/limiter"
 	"quetzalgrade.example/quetzalgrade/internal/orderer"
 	"quetzalgrade.example/quetzalgrade/internal/pinner"
+	"quetzalgrade.example/quetzalgrade/internal/prober"
 	"quetzalgrade.example/quetzalgrade/internal/retrier"
 	"quetzalgrade.example/quetzalgrade/internal/roller"
 	"quetzalgrade.example/quetzalgrade/internal/router"
@@ -79,6 +80,7 @@
 	estimates     *keeper.Keeper[estimator.Table, estimator.Snapshot]
 	pins          *keeper.Keeper[pinner.Table, int]
 	peers         *peerClients
+	prober        *prober.Prober
 	transport     *http.Transport
 	log           *journaler.Client
 	appendBudget  *rate.Limiter
@@ -107,9 +109,7 @@
 	// updateConfiguration has handled.
 	appliedRevision atomic.Uint64
 	killed          chan struct{}
-	// urgentGossip signals that rumours must be sent to other members at once.
-	urgentGossip chan struct{}
-	killOnce     sync.Once
+	killOnce        sync.Once
 }
 
 // listeners holds the listening sockets of a daemon.
@@ -136,7 +136,6 @@
 		metrics:      metrics.NewSet(),
 		dueChanges:   map[string]time.Time{},
 		killed:       make(chan struct{}),
-		urgentGossip: make(chan struct{}, 1),
 	}
 	if err := s.listen(); err != nil {
 		return nil, err
@@ -191,6 +190,7 @@
 	s.estimates = keeper.New(s.system, estimator.New(), (*estimator.Table).Snapshot)
 	s.pins = keeper.New(s.system, pinner.NewTable(pinTTL, maxPins), countPins)
 	s.peers = newPeerClients(s.transport, s.config.PeerTokens)
+	s.prober = s.newProber()
 }
 
 func (s *Server) buildComponents() {
@@ -311,8 +311,8 @@
 	run(s.biller.Run)
 	run(s.limiter.Run)
 	run(s.assessor.Run)
-	run(s.runGossip)
-	run(s.runUrgentGossip)
+	run(s.prober.Run)
+	run(s.prober.RunUrgent)
 	run(s.pollInstanceList)
 	run(s.pollEndpointLoads)
 	run(s.runMaintenance)
--- a/internal/server/state.go
+++ b/internal/server/state.go
@@ -150,7 +150,7 @@
 	s.watcher.Configure(catalog)
 	s.roller.Configure(catalog)
 	s.updateAllocations(catalog)
-	defer s.triggerUrgentGossip()
+	defer s.prober.SpreadUrgent()
 	s.members.Enqueue(func(state *gossiper.Membership) {
 		state.SetRevision(catalog.Revision)
 		state.RemoveStoppedVersions(func(stop gossiper.StoppedVersion) bool {
@@ -226,7 +226,7 @@
 func (s *Server) stopVersion(stop gossiper.StoppedVersion) {
 	s.members.Enqueue(func(state *gossiper.Membership) {
 		if state.AddStoppedVersion(stop) {
-			s.triggerUrgentGossip()
+			s.prober.SpreadUrgent()
 			s.logger.Warn("version stopped", "version", stop.Version, "reason", stop.Reason)
 		}
 	})
@@ -237,7 +237,7 @@
 func (s *Server) announceDrainingEndpoint(endpoint netip.AddrPort) {
 	s.members.Enqueue(func(state *gossiper.Membership) {
 		if state.AddDrainingEndpoint(endpoint.String(), time.Now()) {
-			s.triggerUrgentGossip()
+			s.prober.SpreadUrgent()
 			s.logger.Info("endpoint is draining", "endpoint", endpoint)
 		}
 	})
--- a/internal/server/stop.go
+++ b/internal/server/stop.go
@@ -19,9 +19,6 @@
 	unreadyDelay = 3 * time.Second
 	// handoverTimeout bounds the handover of state after the drain.
 	handoverTimeout = 10 * time.Second
-	// leaveNotifications is the number of members that a leaving daemon notifies
-	// directly; gossip informs the others.
-	leaveNotifications = 3
 	// pinHandoverConcurrency is the number of pins handed over at once.
 	pinHandoverConcurrency = 16
 )
@@ -32,7 +29,7 @@
 	s.logger.Info("stopping", "active", s.gateway.ActiveRequests())
 	s.stopping.Store(true)
 	s.gateway.DisableKeepAlives()
-	s.announceLeaving(ctx)
+	s.prober.AnnounceLeaving(ctx)
 	sleep(ctx, unreadyDelay)
 	drainCtx, cancel := context.WithTimeout(ctx, s.config.DrainTimeout)
 	if err := s.clientServer.Shutdown(drainCtx); err != nil {
@@ -46,21 +43,6 @@
 	s.flush(handoverCtx)
 }
 
-// announceLeaving tells a few members that this daemon is leaving. They spread
-// it by gossip.
-func (s *Server) announceLeaving(ctx context.Context) {
-	_ = s.members.Do(ctx, func(state *gossiper.Membership) { state.AnnounceDraining() })
-	notified := 0
-	for _, member := range gossiper.Rank("leave/"+s.config.Name, s.servingPeers()) {
-		if notified == leaveNotifications {
-			return
-		}
-		if s.probe(ctx, member, false) == nil {
-			notified++
-		}
-	}
-}
-
 // flush appends the records that the log does not have yet. If that fails, it
 // hands the unsaved bills over to another daemon.
 func (s *Server) flush(ctx context.Context) {
