Quarantine parts of prompts that crash endpoints, on all daemons

Cause: nothing tied a crash to the content of the requests at the endpoint. Each daemon sent the request, and later ones with the same part, to the next endpoint; what one daemon could have known, the others did not. Change: a daemon whose request was at an endpoint that closed its connections before the response had more than begun, and now refuses connections, reports the crash with the shared parts of the request as facts by gossip. quarantiner finds the part that explains the crashes: three endpoints, or five where requests with it were served shortly before or where a later part of the prompt explains nearly as many. Requests with it are refused at once as not run, with the time of the next trial. One daemon of all tries again after 20 s, and later each time; a served request with the part ends the quarantine everywhere. A request at its second crash is not repeated. Entry daemons now form a membership over the port on which they share reads; zones find each other through one topic, and need the log no longer after that. Why it works: the part that crashes endpoints is in all crashes and in no response, and all daemons judge the same pooled facts."

--- a/internal/classifier/classifier.go
+++ b/internal/classifier/classifier.go
@@ -29,6 +29,7 @@
 	NoVersion              Kind = "no_version"
 	VersionWithdrawn       Kind = "version_withdrawn"
 	NoEndpoint             Kind = "no_endpoint"
+	PromptQuarantined      Kind = "prompt_quarantined"
 	ClaimsUnavailable      Kind = "claims_unavailable"
 	BillsFull              Kind = "bills_full"
 	KeyReused              Kind = "key_reused"
@@ -91,6 +92,7 @@
 	NoVersion:              {http.StatusServiceUnavailable, connect.CodeUnavailable, NotExecuted, true, "no allowed version is in service"},
 	VersionWithdrawn:       {http.StatusGone, connect.CodeFailedPrecondition, NotExecuted, false, "the conversation's version was withdrawn; start a new conversation"},
 	NoEndpoint:             {http.StatusServiceUnavailable, connect.CodeUnavailable, NotExecuted, true, "no endpoint accepted the request"},
+	PromptQuarantined:      {http.StatusServiceUnavailable, connect.CodeUnavailable, NotExecuted, true, "requests with a part of this prompt crash endpoints; wait for Retry-After, then send again"},
 	ClaimsUnavailable:      {http.StatusServiceUnavailable, connect.CodeUnavailable, NotExecuted, true, "the claim could not be recorded; send again with the same key"},
 	BillsFull:              {http.StatusServiceUnavailable, connect.CodeUnavailable, NotExecuted, true, "unsaved bills have reached their bound; the log is down"},
 	KeyReused:              {http.StatusUnprocessableEntity, connect.CodeInvalidArgument, NotExecuted, false, "the idempotency key belongs to another request; use a new key"},
--- a/internal/commander/entry.go
+++ b/internal/commander/entry.go
@@ -69,6 +69,7 @@
 		StatusTopic:   log.Status(),
 		ResultsTopic:  log.Results(),
 		ReaderTopic:   log.Readers(settings.Zone),
+		ContactTopic:  log.Contacts(),
 		Clock:         runner.SinceBoot,
 		LogOutput:     logs,
 		ReloadSignal:  reload,
--- a/internal/connector/fabric.go
+++ b/internal/connector/fabric.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/netip"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -162,14 +163,14 @@
 	listener := f.listeners[addr]
 	f.mu.Unlock()
 	if listener == nil {
-		return nil, errors.Errorf("dial %s: connection refused", addr)
+		return nil, errors.Wrapf(syscall.ECONNREFUSED, "dial %s", addr)
 	}
 	clientConn, serverConn := f.newConnPair(netip.AddrPortFrom(h.addr, 0), addr)
 	select {
 	case listener.incoming <- serverConn:
 		return clientConn, nil
 	case <-listener.closed:
-		return nil, errors.Errorf("dial %s: connection refused", addr)
+		return nil, errors.Wrapf(syscall.ECONNREFUSED, "dial %s", addr)
 	case <-ctx.Done():
 		return nil, errors.Wrapf(ctx.Err(), "dial %s", addr)
 	}
--- a/internal/exchanger/exchanger.go
+++ b/internal/exchanger/exchanger.go
@@ -14,6 +14,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -177,6 +178,22 @@
 	return &Failure{Stage: Sent, Err: err}
 }
 
+// refusalTimeout bounds the check whether an address refuses connections.
+const refusalTimeout = 100 * time.Millisecond
+
+// Refuses reports whether the address refuses a new connection, so that no process
+// listens there. It does not if nothing responds.
+func (e *Exchanger) Refuses(ctx context.Context, address netip.AddrPort) bool {
+	ctx, cancel := context.WithTimeout(ctx, refusalTimeout)
+	defer cancel()
+	netConn, err := e.network.Dial(ctx, address)
+	if err == nil {
+		_ = netConn.Close()
+		return false
+	}
+	return errors.Is(err, syscall.ECONNREFUSED)
+}
+
 // connect returns an idle connection that is still open, or a new one.
 func (e *Exchanger) connect(ctx context.Context, address netip.AddrPort) (*conn, error) {
 	for {
--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -63,6 +63,10 @@
 			break
 		}
 		c.retryPaid = false
+		if problem := c.checkParts(); problem != nil {
+			last = problem
+			break
+		}
 		choice, ok := c.pick()
 		if !ok {
 			break
@@ -96,7 +100,7 @@
 	if status == statusNotExecuted || status == statusDiscarded {
 		return true
 	}
-	return status == statusFailed && c.route.Retryable() && c.possibleRuns < c.route.MaxRuns
+	return status == statusFailed && c.route.Retryable() && c.possibleRuns < c.route.MaxRuns && !c.mayCrash
 }
 
 // pick chooses an endpoint for the next attempt. It returns false if there is none.
@@ -158,12 +162,6 @@
 	return c.route.Models[c.size]
 }
 
-// sharedParts returns the parts of the prompt that the request may share with others,
-// which are all but the last one.
-func (c *call) sharedParts() []PromptPart {
-	return c.PromptParts[:max(0, len(c.PromptParts)-1)]
-}
-
 // sharedPrefix returns the prefix key of the shared parts of the prompt, and their
 // length in tokens.
 func (c *call) sharedPrefix() (key uint64, tokens int) {
@@ -240,6 +238,9 @@
 		c.recordResult(choice, outcome, 0, 0)
 	}
 	choice.End(trackerOutcome, 0)
+	if failure.Stage == exchanger.Sent && !failure.Unreachable() {
+		c.checkCrash(ctx, choice)
+	}
 	c.log("attempt got no response", c.endpointFields(choice, "error", failure.Err, "sent", failure.Stage == exchanger.Sent)...)
 	kind := classifier.EndpointFailed
 	if status == statusNotExecuted {
--- a/internal/forwarder/counters.go
+++ b/internal/forwarder/counters.go
@@ -21,6 +21,8 @@
 	// Resumes counts the streams of endpoints that were truncated, aborted or
 	// corrupt, whether or not another endpoint resumed them.
 	Resumes *metrics.Counter
+	// Crashes counts the attempts that may have crashed their endpoint.
+	Crashes *metrics.Counter
 	// Served counts the responses that were forwarded to their end.
 	Served *metrics.Counter
 	// FirstEvent measures the time from the arrival of a request to the first event
@@ -37,6 +39,7 @@
 		Attempts:      set.NewCounter("attempts_total"),
 		Retries:       set.NewCounter("repeats_total"),
 		Resumes:       set.NewCounter("resumes_total"),
+		Crashes:       set.NewCounter("crashes_total"),
 		Served:        set.NewCounter("served_total"),
 		FirstEvent:    set.NewHistogram("first_event_seconds"),
 		WholeResponse: set.NewHistogram("answer_seconds"),
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -136,6 +136,16 @@
 	SelectVersion(query VersionQuery) VersionConstraint
 	// RecordResult records the result of an attempt as evidence about its version.
 	RecordResult(result Result)
+	// CheckParts returns when a client may send a request with the parts again, and
+	// false if it may be sent now.
+	CheckParts(parts []PromptPart) (retryAfter time.Duration, blocked bool)
+	// PartsServed records that an endpoint wrote more than the beginning of a response to
+	// a request with the parts. The response began at the time.
+	PartsServed(parts []PromptPart, began time.Time)
+	// EndpointCrashed records that an endpoint crashed while it had a request with the
+	// parts, and had written no more than the beginning of the response. It reports
+	// whether the request may be sent to another endpoint.
+	EndpointCrashed(endpoint tracker.Registration, parts []PromptPart) (repeatable bool)
 	// RequestStarted records that a request of the session has arrived,
 	// RequestEnded that it has ended.
 	RequestStarted(session string)
@@ -255,6 +265,9 @@
 	// ttft is the time to first token of the latest attempt, which is measured up to
 	// the response header.
 	ttft time.Duration
+	// mayCrash is set if the request may have crashed an endpoint, so that it must not be
+	// sent to another one.
+	mayCrash bool
 	// responseStarted is set if part of the response has been forwarded.
 	responseStarted bool
 	// lastEventID is the id of the last event that was forwarded.
--- a/internal/forwarder/stream.go
+++ b/internal/forwarder/stream.go
@@ -94,10 +94,15 @@
 	events := &eventBuffer{lastID: c.lastEventID}
 	startedAt := time.Now()
 	buffer := make([]byte, streamBufferBytes)
+	recorded := false
 	for err == nil {
 		var n int
 		n, err = response.Read(buffer)
 		complete, eventErr := events.add(buffer[:n])
+		if !recorded && events.count > maxCrashEvents {
+			recorded = true
+			c.recordServed(startedAt)
+		}
 		if eventErr != nil {
 			err = eventErr
 		}
@@ -109,6 +114,9 @@
 		}
 	}
 	if errors.Is(err, io.EOF) && events.incomplete() == 0 && (events.count > 0 || c.resumedAtEnd(response)) {
+		if !recorded && events.count > 0 {
+			c.recordServed(startedAt)
+		}
 		pace := decodePace(time.Since(startedAt), events.count)
 		choice.End(tracker.Success, pace)
 		c.recordResult(choice, Completed, c.ttft, pace)
@@ -143,6 +151,9 @@
 // handleBrokenStream handles a stream that was truncated, aborted or corrupt.
 func (c *call) handleBrokenStream(ctx context.Context, choice *tracker.Choice, err error, events *eventBuffer) (attemptStatus, *bufferedResponse, *classifier.Error) {
 	c.endIncomplete(ctx, choice)
+	if events.count <= maxCrashEvents {
+		c.checkCrash(ctx, choice)
+	}
 	c.log("endpoint's stream is truncated, aborted or corrupt", c.endpointFields(choice, "error", err, "events", events.count, "after", c.lastEventID)...)
 	c.Counters.Resumes.Inc()
 	return statusFailed, nil, classifier.Wrap(classifier.EndpointFailed, err, "the stream of endpoint %s is truncated, aborted or corrupt", choice.ID)
--- a/internal/forwarder/whole.go
+++ b/internal/forwarder/whole.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"time"
 
 	"github.com/go-faster/errors"
 
@@ -53,6 +54,9 @@
 		return statusFailed, got, classifier.New(classifier.EndpointFailed, "endpoint %s failed with status %d", choice.ID, response.Status)
 	}
 	c.recordResult(choice, Completed, c.ttft, 0)
+	if response.Status < http.StatusMultipleChoices {
+		c.recordServed(time.Now())
+	}
 	choice.End(tracker.Success, 0)
 	response.Close()
 	c.writeResponse(got)
@@ -74,6 +78,9 @@
 // long.
 func (c *call) handleBadResponse(ctx context.Context, choice *tracker.Choice, response *exchanger.Response, err error) *classifier.Error {
 	c.endIncomplete(ctx, choice)
+	if !c.responseStarted {
+		c.checkCrash(ctx, choice)
+	}
 	c.log("response is truncated or corrupt", c.endpointFields(choice, "error", err, "status", response.Status)...)
 	return classifier.Wrap(classifier.EndpointFailed, err, "the response of endpoint %s is truncated or corrupt", choice.ID)
 }
--- a/internal/gossiper/facts_test.go
+++ b/internal/gossiper/facts_test.go
@@ -13,19 +13,22 @@
 // factLifetime is the lifetime of the facts of these tests.
 const factLifetime = 5 * time.Minute
 
+// crashKey is the key of crashFact.
+const crashKey = "crash/e1/7"
+
 // crashFact returns a fact about a part of a prompt.
-func crashFact(part uint64) *schema.Fact {
+func crashFact() *schema.Fact {
 	return &schema.Fact{
 		Lifetime: durationpb.New(factLifetime),
-		About:    &schema.Fact_Crash{Crash: &schema.PartCrash{Part: part, Endpoint: "e1"}},
+		About:    &schema.Fact_Crash{Crash: &schema.PartCrash{Part: 7, Endpoint: "e1"}},
 	}
 }
 
-// holdsFact reports whether a member holds a fact, in at least the given version.
-func holdsFact(key string, version uint64) func(string, *gossiper.Membership) bool {
+// holdsFact reports whether a member holds crashFact, in at least the given version.
+func holdsFact(version uint64) func(string, *gossiper.Membership) bool {
 	return func(_ string, m *gossiper.Membership) bool {
 		for _, fact := range m.FactMessages(time.Time{}) {
-			if gossiper.FactKey(fact) == key && fact.GetVersion() >= version {
+			if gossiper.FactKey(fact) == crashKey && fact.GetVersion() >= version {
 				return true
 			}
 		}
@@ -51,7 +54,7 @@
 			c.memberships["m003"] = nil
 		}, changeRounds},
 		"a member restarts later": {9, func(c *cluster) {
-			c.roundsUntil(changeRounds, holdsFact("crash/e1/7", 1))
+			c.roundsUntil(changeRounds, holdsFact(1))
 			c.names = append(c.names[:5:5], c.names[6:]...)
 			c.add("m005", 2)
 		}, 1},
@@ -67,10 +70,10 @@
 		t.Run(name, func(t *testing.T) {
 			c := newCluster(row.size)
 			c.roundsUntil(joinRounds, func(_ string, m *gossiper.Membership) bool { return serving(m) == row.size })
-			c.memberships["m003"].Observe(crashFact(7), c.now)
+			c.memberships["m003"].Observe(crashFact(), c.now)
 			c.fanOut("m003")
 			row.event(c)
-			if got := c.roundsUntil(row.rounds, holdsFact("crash/e1/7", 1)); got == row.rounds {
+			if got := c.roundsUntil(row.rounds, holdsFact(1)); got == row.rounds {
 				t.Errorf("rounds until every member holds the fact got %d or more, want fewer", got)
 			}
 		})
@@ -81,15 +84,15 @@
 // that was cut off must not undo what the others have observed since.
 func TestNewerFactReplacesOlder(t *testing.T) {
 	c := newCluster(30)
-	c.memberships["m003"].Observe(crashFact(7), c.now)
-	c.roundsUntil(joinRounds, holdsFact("crash/e1/7", 1))
+	c.memberships["m003"].Observe(crashFact(), c.now)
+	c.roundsUntil(joinRounds, holdsFact(1))
 	c.partitioned = func(a, b string) bool { return (a == "m009") != (b == "m009") }
-	c.memberships["m003"].Observe(crashFact(7), c.now)
+	c.memberships["m003"].Observe(crashFact(), c.now)
 	for range joinRounds {
 		c.round()
 	}
 	c.partitioned = func(string, string) bool { return false }
-	if got := c.roundsUntil(2*detectionRounds, holdsFact("crash/e1/7", 2)); got == 2*detectionRounds {
+	if got := c.roundsUntil(2*detectionRounds, holdsFact(2)); got == 2*detectionRounds {
 		t.Errorf("rounds until every member holds the newer fact got %d or more, want fewer", got)
 	}
 }
@@ -98,8 +101,8 @@
 // the fact, so that passing it on does not prolong it.
 func TestFactExpires(t *testing.T) {
 	c := newCluster(9)
-	c.memberships["m003"].Observe(crashFact(7), c.now)
-	c.roundsUntil(joinRounds, holdsFact("crash/e1/7", 1))
+	c.memberships["m003"].Observe(crashFact(), c.now)
+	c.roundsUntil(joinRounds, holdsFact(1))
 	end := c.now.Add(factLifetime)
 	for !c.now.After(end) {
 		c.round()
--- a/internal/gossiper/gossiper.go
+++ b/internal/gossiper/gossiper.go
@@ -228,20 +228,19 @@
 // NextProbeTarget returns the member to probe next, or false if there is none. It
 // returns each member once per round, in random order. Members that are marked as
 // dead are included, because after a network partition each side has marked the
-// members of the other side as dead. Leaving members are skipped.
+// members of the other side as dead. So are leaving ones, because a daemon that has
+// restarted may know no other one.
 func (m *Membership) NextProbeTarget(random *rand.Rand) (Member, bool) {
 	for len(m.probeQueue) > 0 {
 		name := m.probeQueue[0]
 		m.probeQueue = m.probeQueue[1:]
-		if member := m.members[name]; member != nil && member.Status != schema.Status_STATUS_LEAVING {
+		if member := m.members[name]; member != nil {
 			return *member, true
 		}
 	}
 	m.probeQueue = m.probeQueue[:0]
-	for name, member := range m.members {
-		if member.Status != schema.Status_STATUS_LEAVING {
-			m.probeQueue = append(m.probeQueue, name)
-		}
+	for name := range m.members {
+		m.probeQueue = append(m.probeQueue, name)
 	}
 	slices.Sort(m.probeQueue)
 	random.Shuffle(len(m.probeQueue), func(i, j int) { m.probeQueue[i], m.probeQueue[j] = m.probeQueue[j], m.probeQueue[i] })
--- a/internal/prober/prober.go
+++ b/internal/prober/prober.go
@@ -26,6 +26,8 @@
 	// indirectProbes is the number of members that are asked to probe a member
 	// that did not respond to a direct probe.
 	indirectProbes = 2
+	// joinInterval is the time between two attempts to reach seeds that are no members.
+	joinInterval = 3 * time.Second
 	// urgentInterval is the minimum time between two rounds of urgent gossip.
 	urgentInterval = 100 * time.Millisecond
 	// leaveNotifications is the number of members that a leaving daemon notifies
@@ -81,21 +83,27 @@
 	return rand.New(rand.NewPCG(p.Seed, p.Self.GetIncarnation()+task))
 }
 
-// Run joins the other daemons, then probes one member per interval until ctx ends. While
-// it has no member to probe, it tries to join again. It returns the error of ctx.
+// Run joins the other daemons, then probes one member per interval until ctx ends. It
+// goes on to join through seeds that are no members, because each of several groups of
+// daemons may know none of the others. It returns the error of ctx.
 func (p *Prober) Run(ctx context.Context) error {
 	p.join(ctx)
+	joinedAt := time.Now()
 	random := p.newRandom(0)
 	for {
 		sleep(ctx, time.Duration((1-probeJitter+2*probeJitter*random.Float64())*float64(probeInterval)))
 		if ctx.Err() != nil {
 			return ctx.Err()
 		}
+		if time.Since(joinedAt) >= joinInterval {
+			p.join(ctx)
+			joinedAt = time.Now()
+		}
 		p.probeNext(ctx, random)
 	}
 }
 
-// probeNext probes the next member.
+// probeNext probes the next member. It joins the other daemons if there is none.
 func (p *Prober) probeNext(ctx context.Context, random *rand.Rand) {
 	var target gossiper.Member
 	var found bool
@@ -238,10 +246,18 @@
 	}
 }
 
-// join probes the seeds to learn the members.
+// join probes the seeds that are no members, to learn the members that they know.
 func (p *Prober) join(ctx context.Context) {
+	known := map[netip.AddrPort]bool{}
+	_ = p.Members.Do(ctx, func(state *gossiper.Membership) {
+		for _, member := range state.Members() {
+			known[member.Address] = true
+		}
+	})
 	for _, seed := range p.Seeds() {
-		_ = p.Probe(ctx, gossiper.Member{Address: seed}, true)
+		if !known[seed] {
+			_ = p.Probe(ctx, gossiper.Member{Address: seed}, true)
+		}
 	}
 }
 
--- /dev/null
+++ b/internal/quarantiner/quarantiner.go
@@ -0,0 +1,392 @@
+// Package quarantiner finds the parts of prompts that crash endpoints, from the crashes
+// that all daemons report, and says which requests must not be sent. It does no I/O:
+// times are arguments, and what other daemons must learn is returned.
+//
+// An endpoint that crashes takes many requests with it. Only those whose response had not
+// begun may have caused the crash. Of their parts, the one that caused it is in many
+// crashes and in no served request. A part before it in the prompt is in as many crashes
+// where requests with it are rare, so of several parts that explain the same crashes the
+// last one in the prompt is taken.
+package quarantiner
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+	"time"
+)
+
+const (
+	// minCrashes is the number of crashed endpoints after which a part is quarantined.
+	minCrashes = 3
+	// minCrashesIfDoubtful applies to a part that is less likely to be the cause: requests
+	// with it were served in the servedWindow before its first crash, and must then fail
+	// to be served again for servedAgainTime, or a later part of the prompt is in most of
+	// the crashes too.
+	minCrashesIfDoubtful = 5
+	servedWindow         = 10 * time.Second
+	servedAgainTime      = time.Second
+	// settleTime is how long so many crashes must go without a likelier cause, because
+	// the reports of one crash come from several daemons.
+	settleTime = 150 * time.Millisecond
+	// Lifetime is how long a crash counts.
+	Lifetime = 10 * time.Minute
+	// trialDelay is the time from the last crash until one request with the part is sent
+	// again to see whether it still crashes endpoints. It doubles with each trial.
+	trialDelay = 20 * time.Second
+	// minRetryAfter is the least time that a client is told to wait.
+	minRetryAfter = time.Second
+	// soundInterval is the least time between two reports that a part is sound.
+	soundInterval = 500 * time.Millisecond
+)
+
+// suspect is a part that requests had which were at a crashed endpoint.
+type suspect struct {
+	id uint64
+	// place is the place of the part in the prompt, from 0.
+	place int
+	// crashes holds the times of the crashes by endpoint.
+	crashes map[string]time.Time
+	// servedBefore is set if requests with the part were served shortly before the first
+	// crash.
+	servedBefore bool
+	quarantined  bool
+	// causeSince is when the part was first taken for the cause of its crashes. It is zero
+	// if it is not.
+	causeSince time.Time
+	// trialAt is when this daemon last sent a request with the part as a trial.
+	trialAt time.Time
+	// soundReportedAt is when this daemon last reported that the part is sound.
+	soundReportedAt time.Time
+}
+
+// firstCrash and lastCrash return the times of the first and the last crash.
+func (s *suspect) firstCrash() time.Time { return slices.MinFunc(s.times(), time.Time.Compare) }
+func (s *suspect) lastCrash() time.Time  { return slices.MaxFunc(s.times(), time.Time.Compare) }
+
+func (s *suspect) times() []time.Time {
+	times := make([]time.Time, 0, len(s.crashes))
+	for _, at := range s.crashes {
+		times = append(times, at)
+	}
+	return times
+}
+
+// nextTrial returns when the next trial is due. The time between the first and the last
+// crash grows with each trial that fails.
+func (s *suspect) nextTrial() time.Time {
+	last := s.lastCrash()
+	due := last.Add(max(trialDelay, 2*last.Sub(s.firstCrash())))
+	if tried := s.trialAt.Add(trialDelay); tried.After(due) {
+		return tried
+	}
+	return due
+}
+
+// unexplained returns the number of crashes that are not in the set.
+func (s *suspect) unexplained(explained map[string]bool) int {
+	count := 0
+	for endpoint := range s.crashes {
+		if !explained[endpoint] {
+			count++
+		}
+	}
+	return count
+}
+
+// isRival reports whether another part may rather cause the crashes of this one: it is
+// later in the prompt and in nearly as many of them.
+func (s *suspect) isRival(other *suspect) bool {
+	if other.place <= s.place || other.servedBefore {
+		return false
+	}
+	shared := 0
+	for endpoint := range s.crashes {
+		if _, ok := other.crashes[endpoint]; ok {
+			shared++
+		}
+	}
+	return shared >= minCrashes-1
+}
+
+// Quarantine holds the parts that are suspected or quarantined. It is safe for concurrent
+// use.
+type Quarantine struct {
+	mu       sync.Mutex
+	suspects map[uint64]*suspect
+	// served holds when a request with a part was last served.
+	served map[uint64]time.Time
+	// quarantined is the number of quarantined parts, pending that of the parts that may
+	// soon be.
+	quarantined int
+	pending     int
+	onChange    func(Change)
+}
+
+// Change says that a part is quarantined, or no longer is.
+type Change struct {
+	Part        uint64
+	Place       int
+	Quarantined bool
+	// Crashes is the number of endpoints that crashed.
+	Crashes int
+}
+
+// New returns a quarantine without parts. It calls onChange, which must not call it, with
+// each change.
+func New(onChange func(Change)) *Quarantine {
+	return &Quarantine{suspects: map[uint64]*suspect{}, served: map[uint64]time.Time{}, onChange: onChange}
+}
+
+// Crash says that an endpoint crashed while it had a request with a part, and had written
+// no more than the beginning of the response.
+type Crash struct {
+	Part uint64
+	// Place is the place of the part in the prompt, from 0.
+	Place int
+	// Endpoint is the id and incarnation of the endpoint.
+	Endpoint string
+	At       time.Time
+}
+
+// Suspects returns the crashes of the shared parts of a request that was at a crashed
+// endpoint. If one of them is quarantined, it explains the crash alone.
+func (q *Quarantine) Suspects(endpoint string, parts []uint64, at time.Time) []Crash {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	var crashes []Crash
+	for place, id := range parts {
+		crash := Crash{Part: id, Place: place, Endpoint: endpoint, At: at}
+		if s := q.suspects[id]; s != nil && s.quarantined {
+			return []Crash{crash}
+		}
+		crashes = append(crashes, crash)
+	}
+	return crashes
+}
+
+// RecordCrashes records crashes that this or another daemon has seen.
+func (q *Quarantine) RecordCrashes(crashes []Crash, now time.Time) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	for _, crash := range crashes {
+		s := q.suspects[crash.Part]
+		if s == nil {
+			servedAt, served := q.served[crash.Part]
+			s = &suspect{id: crash.Part, place: crash.Place, crashes: map[string]time.Time{}, servedBefore: served && now.Sub(servedAt) < servedWindow}
+			q.suspects[crash.Part] = s
+		}
+		if _, known := s.crashes[crash.Endpoint]; !known {
+			s.crashes[crash.Endpoint] = crash.At
+		}
+	}
+	q.evaluate(now)
+}
+
+// evaluate quarantines the parts that cause the crashes.
+func (q *Quarantine) evaluate(now time.Time) {
+	explained := map[string]bool{}
+	q.pending = 0
+	for _, s := range q.byLikelihood() {
+		if !s.quarantined {
+			if !q.isCause(s, s.unexplained(explained), now) {
+				s.causeSince = time.Time{}
+				continue
+			}
+			q.settle(s, now)
+		}
+		for endpoint := range s.crashes {
+			explained[endpoint] = true
+		}
+	}
+}
+
+// isCause reports whether so many crashes, which no likelier part explains, show that a
+// part causes them.
+func (q *Quarantine) isCause(s *suspect, unexplained int, now time.Time) bool {
+	switch {
+	case unexplained < minCrashes:
+		return false
+	case s.servedBefore:
+		return unexplained >= minCrashesIfDoubtful && now.Sub(s.firstCrash()) >= servedAgainTime
+	case unexplained >= minCrashesIfDoubtful:
+		return true
+	}
+	for _, other := range q.suspects {
+		if s.isRival(other) {
+			return false
+		}
+	}
+	return true
+}
+
+// settle quarantines a cause unless a likelier one may still be reported.
+func (q *Quarantine) settle(s *suspect, now time.Time) {
+	if s.causeSince.IsZero() {
+		s.causeSince = now
+	}
+	if now.Sub(s.causeSince) < settleTime {
+		q.pending++
+		return
+	}
+	s.quarantined = true
+	q.quarantined++
+	q.onChange(Change{Part: s.id, Place: s.place, Quarantined: true, Crashes: len(s.crashes)})
+}
+
+// release ends the quarantine of a part.
+func (q *Quarantine) release(s *suspect) {
+	if s.quarantined {
+		s.quarantined = false
+		q.quarantined--
+		q.onChange(Change{Part: s.id, Place: s.place, Crashes: len(s.crashes)})
+	}
+	s.causeSince = time.Time{}
+}
+
+// byLikelihood returns the suspects, the likeliest causes first.
+func (q *Quarantine) byLikelihood() []*suspect {
+	list := make([]*suspect, 0, len(q.suspects))
+	for _, s := range q.suspects {
+		list = append(list, s)
+	}
+	slices.SortFunc(list, func(a, b *suspect) int {
+		return cmp.Or(
+			compareBools(b.quarantined, a.quarantined),
+			compareBools(a.servedBefore, b.servedBefore),
+			cmp.Compare(b.place, a.place),
+			cmp.Compare(len(b.crashes), len(a.crashes)),
+			cmp.Compare(a.id, b.id))
+	})
+	return list
+}
+
+// compareBools orders false before true.
+func compareBools(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case a:
+		return 1
+	default:
+		return -1
+	}
+}
+
+// RecordServed records that an endpoint wrote more than the beginning of a response that
+// began at a time to a request with the parts. It returns the parts among them that other
+// daemons may take for the cause of crashes.
+func (q *Quarantine) RecordServed(parts []uint64, began, now time.Time) (sound []uint64) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	for _, id := range parts {
+		q.served[id] = now
+		s := q.suspects[id]
+		if s == nil {
+			continue
+		}
+		mayBeCause := s.quarantined || len(s.crashes) >= minCrashes-1
+		if q.markSound(s, began, now) && mayBeCause && now.Sub(s.soundReportedAt) >= soundInterval {
+			s.soundReportedAt = now
+			sound = append(sound, id)
+		}
+	}
+	return sound
+}
+
+// RecordSound records that another daemon has seen a response to a request with the part
+// that began at a time.
+func (q *Quarantine) RecordSound(id uint64, began, now time.Time) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if s := q.suspects[id]; s != nil {
+		q.markSound(s, began, now)
+	}
+}
+
+// markSound drops the crashes before a response began, which the part has not caused. It
+// reports whether there were any.
+func (q *Quarantine) markSound(s *suspect, began, now time.Time) bool {
+	before := len(s.crashes)
+	for endpoint, at := range s.crashes {
+		if at.Before(began) {
+			delete(s.crashes, endpoint)
+		}
+	}
+	if len(s.crashes) == before {
+		return false
+	}
+	s.servedBefore = true
+	q.release(s)
+	q.evaluate(now)
+	return true
+}
+
+// Check reports whether a request with the parts must not be sent, because of which part,
+// and when the client may try again. mayTry reports whether this daemon is the one that
+// tries whether a part still crashes endpoints.
+func (q *Quarantine) Check(parts []uint64, now time.Time, mayTry func(part uint64) bool) (part uint64, retryAfter time.Duration, blocked bool) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if q.pending > 0 {
+		q.evaluate(now)
+	}
+	if q.quarantined == 0 {
+		return 0, 0, false
+	}
+	for _, id := range parts {
+		s := q.suspects[id]
+		if s == nil || !s.quarantined {
+			continue
+		}
+		if wait := s.nextTrial().Sub(now); wait > 0 || !mayTry(id) {
+			return id, max(minRetryAfter, wait), true
+		}
+		s.trialAt = now
+	}
+	return 0, 0, false
+}
+
+// MayRepeat reports whether a request with the parts, which was at a crashed endpoint, may
+// be sent to another one: none of its parts is in several crashes and otherwise unknown.
+func (q *Quarantine) MayRepeat(parts []uint64) bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	for _, id := range parts {
+		if s := q.suspects[id]; s != nil && !s.servedBefore && len(s.crashes) > 1 {
+			return false
+		}
+	}
+	return true
+}
+
+// Sweep forgets crashes and served requests that no longer count.
+func (q *Quarantine) Sweep(now time.Time) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	for id, servedAt := range q.served {
+		if now.Sub(servedAt) >= servedWindow {
+			delete(q.served, id)
+		}
+	}
+	for id, s := range q.suspects {
+		for endpoint, at := range s.crashes {
+			if now.Sub(at) >= Lifetime {
+				delete(s.crashes, endpoint)
+			}
+		}
+		if len(s.crashes) > 0 {
+			continue
+		}
+		q.release(s)
+		delete(q.suspects, id)
+	}
+	q.evaluate(now)
+}
+
+// Counts returns the numbers of suspected and of quarantined parts.
+func (q *Quarantine) Counts() (suspects, quarantined int) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return len(q.suspects), q.quarantined
+}
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -115,6 +116,8 @@
 	failedReader ZoneReader
 	// readerClients is nil unless this daemon follows a zone reader.
 	readerClients *readerClients
+	// otherReaders are the zone readers that the log named last, without this daemon.
+	otherReaders []netip.AddrPort
 	// decided is closed when this daemon has checked for the zone reader, after its start
 	// and after each failure that it noticed at once.
 	decided chan struct{}
@@ -293,7 +296,9 @@
 			r.Logger.Debug("cannot read the zone readers from the log", "error", err)
 			return
 		}
-		reader := r.findReader(records)
+		readers := DecodeReaders(records, r.Logger)
+		r.setOtherReaders(readers)
+		reader := readers[r.Zone]
 		role := r.chooseRole(reader)
 		if role != Claiming {
 			r.setRole(role, reader)
@@ -327,34 +332,65 @@
 	return ChooseRole(RoleInputs{Self: r.Self, Reader: reader, FailedReader: r.failedReader, Draining: r.draining.Load()})
 }
 
-// findReader returns the reader of this zone from the records of all zones. It logs
-// and skips an invalid record.
-func (r *Relayer) findReader(records []subscriber.Record) ZoneReader {
+// DecodeReaders returns the daemons that records name, by the zone that is their key. It
+// logs and skips an invalid record.
+func DecodeReaders(records []subscriber.Record, logger hclog.Logger) map[string]ZoneReader {
+	readers := map[string]ZoneReader{}
 	for _, record := range records {
-		if record.Key != r.Zone || len(record.Value) == 0 {
+		if len(record.Value) == 0 {
 			continue
 		}
 		reader := &schema.Reader{}
 		if err := proto.Unmarshal(record.Value, reader); err != nil {
-			r.Logger.Error("invalid zone reader record", "zone", record.Key, "offset", record.Offset, "error", err)
+			logger.Error("invalid zone reader record", "zone", record.Key, "offset", record.Offset, "error", err)
 			continue
 		}
 		address, err := netip.ParseAddrPort(reader.GetAddress())
 		if err != nil {
-			r.Logger.Error("invalid zone reader record", "zone", record.Key, "offset", record.Offset, "error", err)
+			logger.Error("invalid zone reader record", "zone", record.Key, "offset", record.Offset, "error", err)
 			continue
 		}
-		return ZoneReader{Name: reader.GetName(), Address: address}
+		readers[record.Key] = ZoneReader{Name: reader.GetName(), Address: address}
 	}
-	return ZoneReader{}
+	return readers
+}
+
+// Encode returns the record of the daemon.
+func (z ZoneReader) Encode() ([]byte, error) {
+	value, err := proto.Marshal(&schema.Reader{Name: z.Name, Address: z.Address.String()})
+	if err != nil {
+		return nil, errors.Wrap(err, "encode zone reader record")
+	}
+	return value, nil
+}
+
+// setOtherReaders records the zone readers other than this daemon.
+func (r *Relayer) setOtherReaders(readers map[string]ZoneReader) {
+	var addresses []netip.AddrPort
+	for _, reader := range readers {
+		if reader != r.Self {
+			addresses = append(addresses, reader.Address)
+		}
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.otherReaders = addresses
+}
+
+// OtherReaders returns the addresses of the zone readers that the log named last, without
+// this daemon: that of this zone, and those of zones that share its records.
+func (r *Relayer) OtherReaders() []netip.AddrPort {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return slices.Clone(r.otherReaders)
 }
 
 // claimReader records this daemon as the zone reader. It returns
 // subscriber.ErrOffsetConflict if a record was appended since the topic was read.
 func (r *Relayer) claimReader(ctx context.Context, at int64) error {
-	value, err := proto.Marshal(&schema.Reader{Name: r.Self.Name, Address: r.Self.Address.String()})
+	value, err := r.Self.Encode()
 	if err != nil {
-		return errors.Wrap(err, "encode zone reader record")
+		return err
 	}
 	return r.ReaderTopic.AppendAt(ctx, r.Zone, value, at)
 }
--- /dev/null
+++ b/internal/runner/contacts.go
@@ -0,0 +1,97 @@
+package runner
+
+import (
+	"context"
+	"net/netip"
+	"sync"
+	"time"
+
+	"quetzalgrade.example/quetzalgrade/internal/relayer"
+)
+
+const (
+	// contactInterval is the time between two exchanges of contacts.
+	contactInterval = time.Second
+	// contactTimeout bounds one exchange.
+	contactTimeout = time.Second
+	// maxContactReads bounds the reads of a zone that finds no other one.
+	maxContactReads = 5
+)
+
+// contacts finds a daemon in each other zone, through which the zones join. Each zone
+// reader names itself in the log until it knows a daemon of another zone; after that, the
+// log is not needed.
+type contacts struct {
+	*Runner
+	self relayer.ZoneReader
+
+	mu        sync.Mutex
+	addresses []netip.AddrPort
+}
+
+func newContacts(r *Runner) *contacts {
+	settings := r.settings.Load()
+	return &contacts{Runner: r, self: relayer.ZoneReader{Name: settings.Name, Address: settings.RelayAddress}}
+}
+
+// seeds returns the addresses of the daemons to join through.
+func (c *contacts) seeds() []netip.AddrPort {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return append(c.relayer.OtherReaders(), c.addresses...)
+}
+
+// run exchanges contacts until ctx ends, and returns the error of ctx.
+func (c *contacts) run(ctx context.Context) error {
+	ticker := time.NewTicker(contactInterval)
+	defer ticker.Stop()
+	published := false
+	reads := 0
+	for {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+		if reads >= maxContactReads || c.relayer.Following() || c.peers.knowsOtherZone() {
+			continue
+		}
+		if err := c.exchange(ctx, &published); err != nil {
+			c.logger.Info("cannot exchange contacts with other zones", "error", err)
+			continue
+		}
+		reads++
+	}
+}
+
+// exchange names this daemon in the log, unless that is done, and reads the contacts of
+// the other zones.
+func (c *contacts) exchange(ctx context.Context, published *bool) error {
+	ctx, cancel := context.WithTimeout(ctx, contactTimeout)
+	defer cancel()
+	zone := c.settings.Load().Zone
+	if !*published {
+		value, err := c.self.Encode()
+		if err != nil {
+			return err
+		}
+		if err := c.deps.ContactTopic.Append(ctx, zone, value); err != nil {
+			return err
+		}
+		*published = true
+	}
+	records, _, err := c.deps.ContactTopic.Newest(ctx)
+	if err != nil {
+		return err
+	}
+	var addresses []netip.AddrPort
+	for other, contact := range relayer.DecodeReaders(records, c.logger) {
+		if other != zone {
+			addresses = append(addresses, contact.Address)
+		}
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.addresses = addresses
+	return nil
+}
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -26,6 +26,7 @@
 	"quetzalgrade.example/quetzalgrade/internal/matcher"
 	"quetzalgrade.example/quetzalgrade/internal/noter"
 	"quetzalgrade.example/quetzalgrade/internal/promoter"
+	"quetzalgrade.example/quetzalgrade/internal/quarantiner"
 	"quetzalgrade.example/quetzalgrade/internal/relayer"
 	"quetzalgrade.example/quetzalgrade/internal/subscriber"
 	"quetzalgrade.example/quetzalgrade/internal/tracker"
@@ -78,8 +79,10 @@
 	ResultsTopic WritableTopic
 	// ReaderTopic holds the zone reader of each zone.
 	ReaderTopic WritableTopic
-	Clock       subscriber.Clock
-	LogOutput   io.Writer
+	// ContactTopic names one daemon of each zone, through which others join.
+	ContactTopic WritableTopic
+	Clock        subscriber.Clock
+	LogOutput    io.Writer
 	// ReloadSignal yields a value when the settings may have changed. LoadSettings
 	// reads them; if it is nil, settings are never reloaded.
 	ReloadSignal <-chan struct{}
@@ -118,6 +121,9 @@
 	endpointTopic *subscriber.Subscriber
 	rollouts      *rolloutManager
 	relayer       *relayer.Relayer
+	peers         *peers
+	contacts      *contacts
+	quarantine    *quarantiner.Quarantine
 	tracker       *tracker.Tracker
 	exchanger     *exchanger.Exchanger
 	forwarder     *forwarder.Forwarder
@@ -165,7 +171,10 @@
 		ConfirmAfter: confirmAfter,
 	}
 	r.endpointTopic = subscriber.New("endpoints", deps.EndpointTopic, endpointTiming, deps.Clock, r.applyRegistrations, r.logger)
+	r.quarantine = quarantiner.New(r.logQuarantine)
 	r.shareReads()
+	r.contacts = newContacts(r)
+	r.peers = newPeers(r, r.applyFacts)
 	return r, r.listen()
 }
 
@@ -227,6 +236,7 @@
 	r.exchanger.Close()
 	err := group.Wait()
 	r.operatorState.Stop()
+	r.peers.stop()
 	r.system.Shutdown()
 	if err != nil && !errors.Is(err, context.Canceled) {
 		return err
@@ -248,6 +258,9 @@
 	if r.listeners.relay != nil {
 		run(r.relayer.Run)
 		run(r.relayer.ShareLoads)
+		run(r.contacts.run)
+		run(r.peers.prober.Run)
+		run(r.peers.prober.RunUrgent)
 	}
 	r.clientServer = r.newServer(r.forwarder)
 	r.serve(group, r.clientServer, r.listeners.clients)
@@ -257,7 +270,7 @@
 	}{
 		{r.listeners.ready, http.HandlerFunc(r.handleReady)},
 		{r.listeners.metrics, http.HandlerFunc(r.handleMetrics)},
-		{r.listeners.relay, r.relayer.Handler()},
+		{r.listeners.relay, r.relayHandler()},
 	} {
 		if handled.listener == nil {
 			continue
@@ -268,6 +281,14 @@
 	}
 }
 
+// relayHandler returns the handler of requests from other daemons.
+func (r *Runner) relayHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("/", r.relayer.Handler())
+	mux.Handle(r.peers.handler())
+	return mux
+}
+
 // sweep closes idle connections and removes ended sessions until ctx ends.
 func (r *Runner) sweep(ctx context.Context) error {
 	ticker := time.NewTicker(sweepInterval)
@@ -277,6 +298,8 @@
 		case <-ticker.C:
 			r.exchanger.Sweep()
 			r.rollouts.sweepSessions()
+			r.peers.sweep()
+			r.quarantine.Sweep(time.Now())
 		case <-ctx.Done():
 			return ctx.Err()
 		}
--- a/internal/runner/stop.go
+++ b/internal/runner/stop.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -23,6 +24,9 @@
 	r.relayer.Drain()
 	ctx, cancel := context.WithTimeout(ctx, r.settings.Load().StopGrace-stopMargin)
 	defer cancel()
+	var announced sync.WaitGroup
+	announced.Go(func() { r.peers.prober.AnnounceLeaving(ctx) })
+	defer announced.Wait()
 	select {
 	case <-time.After(unreadyPeriod):
 	case <-ctx.Done():
--- a/internal/tracker/tracker.go
+++ b/internal/tracker/tracker.go
@@ -221,6 +221,14 @@
 	return true
 }
 
+// Serving reports whether an endpoint is registered and not draining.
+func (t *Tracker) Serving(id string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	endpoint := t.endpoints[id]
+	return endpoint != nil && !endpoint.Draining
+}
+
 // zoneBlocked reports whether the zone is another one that gets no requests now
 // because it is partitioned.
 func (t *Tracker) zoneBlocked(zone string, now time.Time) bool {
