Join all zones, and repair a daemon's list of members

Change: each zone reader reads the contacts at least once after it has named itself, and every 30 s after that. Daemons whose digests of the serving members differ exchange the whole list: in the new test one daemon of 48 stayed unknown to some after 8 s, now and then. Why it works: the last zone reader to name itself reads the names of all others.

--- a/internal/gossiper/gossiper.go
+++ b/internal/gossiper/gossiper.go
@@ -15,8 +15,11 @@
 	"math/rand/v2"
 	"net/netip"
 	"slices"
+	"strconv"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"quetzalgrade.example/quetzalgrade/pkg/schema"
 )
 
@@ -81,8 +84,10 @@
 	DrainingEndpoints []string
 	// Facts are the facts that are new or newer.
 	Facts []Fact
-	// FactsDiffer is set if the sender's facts are not the same as this daemon's.
-	FactsDiffer bool
+	// FactsDiffer is set if the sender's facts are not the same as this daemon's,
+	// MembersDiffer if its serving members are not.
+	FactsDiffer   bool
+	MembersDiffer bool
 	// Urgent is set for a change that must reach every member within seconds:
 	// a stopped version, a draining endpoint, a fact or a newer configuration revision.
 	Urgent bool
@@ -358,6 +363,7 @@
 		}
 	}
 	changes.FactsDiffer = rumours.GetDigest() != m.factDigest()
+	changes.MembersDiffer = rumours.GetMembersDigest() != m.membersDigest()
 	changes.Urgent = m.isUrgent(rumours, changes)
 	return changes
 }
@@ -445,7 +451,7 @@
 // its own entry, because the other daemons correct that entry only after the
 // recipient has raised its sequence.
 func (m *Membership) RumoursFor(recipient string, joining bool, now time.Time) *schema.Rumours {
-	rumours := &schema.Rumours{Members: []*schema.Member{m.self.message()}, Facts: m.factRumours(joining, now), Digest: m.factDigest()}
+	rumours := &schema.Rumours{Members: []*schema.Member{m.self.message()}, Facts: m.factRumours(joining, now), Digest: m.factDigest(), MembersDigest: m.membersDigest()}
 	m.remainingTransmits["member/"+m.self.Name] = 0
 	if member := m.members[recipient]; member != nil && member.Status != schema.Status_STATUS_ALIVE && !joining {
 		rumours.Members = append(rumours.Members, member.message())
@@ -474,6 +480,25 @@
 	return rumours
 }
 
+// membersDigest returns a digest of the serving members and their incarnations.
+func (m *Membership) membersDigest() uint64 {
+	var digest uint64
+	if m.self.Serving() {
+		digest = m.self.digest()
+	}
+	for _, member := range m.members {
+		if member.Serving() {
+			digest ^= member.digest()
+		}
+	}
+	return digest
+}
+
+// digest returns a digest of the member's name and incarnation.
+func (m Member) digest() uint64 {
+	return xxhash.Sum64String(m.Name + "/" + strconv.FormatUint(m.Incarnation, 10))
+}
+
 // message converts the member to its schema message.
 func (m Member) message() *schema.Member {
 	return &schema.Member{
--- a/internal/gossiper/gossiper_test.go
+++ b/internal/gossiper/gossiper_test.go
@@ -82,7 +82,7 @@
 		return
 	}
 	changes := receiver.Receive(sender.RumoursFor(to, false, c.now), c.now)
-	response := receiver.RumoursFor(from, false, c.now)
+	response := receiver.RumoursFor(from, changes.MembersDiffer, c.now)
 	if changes.FactsDiffer {
 		response.Facts = receiver.FactMessages(c.now)
 	}
--- a/internal/prober/prober.go
+++ b/internal/prober/prober.go
@@ -196,7 +196,7 @@
 	}
 	err := p.Members.Do(ctx, func(state *gossiper.Membership) {
 		changes := p.receive(state, request.GetSender(), request.GetRumours())
-		response.Rumours = state.RumoursFor(request.GetSender().GetName(), request.GetJoin(), time.Now())
+		response.Rumours = state.RumoursFor(request.GetSender().GetName(), request.GetJoin() || changes.MembersDiffer, time.Now())
 		if changes.FactsDiffer {
 			response.Rumours.Facts = state.FactMessages(time.Now())
 		}
--- a/internal/runner/contacts.go
+++ b/internal/runner/contacts.go
@@ -14,13 +14,16 @@
 	contactInterval = time.Second
 	// contactTimeout bounds one exchange.
 	contactTimeout = time.Second
-	// maxContactReads bounds the reads of a zone that finds no other one.
+	// maxContactReads bounds the quick reads of a zone that finds no other one.
 	maxContactReads = 5
+	// contactRefresh is the time between two exchanges of contacts after that.
+	contactRefresh = 30 * time.Second
 )
 
 // contacts finds a daemon in each other zone, through which the zones join. Each zone
-// reader names itself in the log until it knows a daemon of another zone; after that, the
-// log is not needed.
+// reader names itself in the log and then reads the names of the others, so that the last
+// one finds all of them. After that, the daemons need the log only to find each other again
+// if they were split into groups.
 type contacts struct {
 	*Runner
 	self relayer.ZoneReader
@@ -47,23 +50,32 @@
 	defer ticker.Stop()
 	published := false
 	reads := 0
+	var readAt time.Time
 	for {
 		select {
 		case <-ticker.C:
 		case <-ctx.Done():
 			return ctx.Err()
 		}
-		if reads >= maxContactReads || c.relayer.Following() || c.peers.knowsOtherZone() {
+		if c.relayer.Following() || !contactsDue(reads, c.peers.knowsOtherZone(), time.Since(readAt)) {
 			continue
 		}
 		if err := c.exchange(ctx, &published); err != nil {
 			c.logger.Info("cannot exchange contacts with other zones", "error", err)
 			continue
 		}
+		readAt = time.Now()
 		reads++
 	}
 }
 
+// contactsDue reports whether a zone reader exchanges contacts now, after a number of reads
+// of which the last was some time ago. A zone may know some zones, but not all, before it
+// has read any contact.
+func contactsDue(reads int, knowsOtherZone bool, sinceRead time.Duration) bool {
+	return reads == 0 || reads < maxContactReads && !knowsOtherZone || sinceRead >= contactRefresh
+}
+
 // exchange names this daemon in the log, unless that is done, and reads the contacts of
 // the other zones.
 func (c *contacts) exchange(ctx context.Context, published *bool) error {
