--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -180,6 +180,7 @@
 // attempt succeeds.
 func (c *call) tryEndpoint(ctx context.Context, choice *tracker.Choice) (attemptStatus, *bufferedResponse, *classifier.Error) {
 	c.Counters.Attempts.Inc()
+	c.rateLimit = RateLimit{}
 	c.tried = append(c.tried, choice.ID)
 	sentAt := time.Now()
 	attempt := Attempt{
@@ -207,6 +208,7 @@
 	if info.HasLoad {
 		choice.ReportLoad(info.Running, info.Waiting)
 	}
+	c.rateLimit = info.RateLimit
 	c.attemptsReached++
 	if info.Refused {
 		return c.handleRefusal(choice, response, info)
@@ -265,7 +267,7 @@
 func (c *call) endpointFields(choice *tracker.Choice, args ...any) []any {
 	return append(args, "endpoint", choice.ID, "address", choice.Address, "version", choice.Version, "model", c.model(),
 		"load", choice.Load, "backlog", noter.FormatDuration(choice.Backlog), "expected", noter.FormatDuration(choice.ExpectedTTFT()), "sends", len(c.tried),
-		"parts", formatParts(c.sharedParts()))
+		"parts", formatParts(c.sharedParts()), "limit", c.rateLimit.String())
 }
 
 // formatParts returns the ids of parts as in the request's header, separated by
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -8,6 +8,7 @@
 	"io"
 	"net/http"
 	"os"
+	"strconv"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -95,6 +96,26 @@
 	// Confidence is the model's own confidence in its response, from 0 to 100. It
 	// is negative if the headers do not say.
 	Confidence int
+	// RateLimit is what the headers say of the request rate that the endpoint accepts.
+	RateLimit RateLimit
+}
+
+// RateLimit is the request rate that an endpoint accepts from all daemons together.
+type RateLimit struct {
+	// Known is set if the response says whether there is a limit.
+	Known bool
+	// Limited is set if there is a limit. PerSecond is then the number of requests per
+	// second.
+	Limited   bool
+	PerSecond float64
+}
+
+// String returns the rate, or an empty string if there is no limit.
+func (r RateLimit) String() string {
+	if !r.Limited {
+		return ""
+	}
+	return strconv.FormatFloat(r.PerSecond, 'g', 4, 64)
 }
 
 // Codec translates between HTTP headers and the forwarder's types.
@@ -265,6 +286,8 @@
 	// ttft is the time to first token of the latest attempt, which is measured up to
 	// the response header.
 	ttft time.Duration
+	// rateLimit is what the latest response said of the endpoint's limit.
+	rateLimit RateLimit
 	// mayCrash is set if the request may have crashed an endpoint, so that it must not be
 	// sent to another one.
 	mayCrash bool
