Divide the rate that an endpoint accepts among the daemons

Cause: no code read the limit; and a daemon that kept to all of it by itself would change nothing, since none sent more than 3.5 a second to one endpoint. Change: a limit in a response is a fact that spreads by gossip, and so is its end: a response without it to a request that was sent after the limit was last named. apportioner gives each endpoint as many daemons, plus two, as it takes requests a second, in an order by rendezvous hashing over the members, and each of them an equal share; all others do not use it. tracker keeps to the share with a bucket of one request that starts empty. A daemon that is cut off or dead keeps its share for 30 s. Where only the limits are in the way, the refusal says when this daemon may send again. A limit under 0.2 a second counts as that, so that its end is seen. Why it works: the shares sum up to the limit, few daemons can send at once, and a change of the members moves few shares.

--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -69,6 +69,9 @@
 		}
 		choice, ok := c.pick()
 		if !ok {
+			if wait, limited := c.Tracker.LimitWait(c.query(c.model())); limited {
+				_ = last.WithRetryAfter(max(notReadyRetryAfter, wait))
+			}
 			break
 		}
 		if attempts > 0 {
@@ -209,6 +212,9 @@
 		choice.ReportLoad(info.Running, info.Waiting)
 	}
 	c.rateLimit = info.RateLimit
+	if info.RateLimit.Known && (info.RateLimit.Limited || choice.Limited) {
+		c.ControlPlane.RecordRateLimit(choice.Registration, info.RateLimit, sentAt)
+	}
 	c.attemptsReached++
 	if info.Refused {
 		return c.handleRefusal(choice, response, info)
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -167,6 +167,9 @@
 	// parts, and had written no more than the beginning of the response. It reports
 	// whether the request may be sent to another endpoint.
 	EndpointCrashed(endpoint tracker.Registration, parts []PromptPart) (repeatable bool)
+	// RecordRateLimit records what the response to a request, which was sent at a time,
+	// says of the endpoint's limit.
+	RecordRateLimit(endpoint tracker.Registration, limit RateLimit, sentAt time.Time)
 	// RequestStarted records that a request of the session has arrived,
 	// RequestEnded that it has ended.
 	RequestStarted(session string)
--- a/internal/gossiper/facts.go
+++ b/internal/gossiper/facts.go
@@ -29,6 +29,8 @@
 		return "crash/" + about.Crash.GetEndpoint() + "/" + strconv.FormatUint(about.Crash.GetPart(), 16)
 	case *schema.Fact_Sound:
 		return "sound/" + strconv.FormatUint(about.Sound.GetPart(), 16)
+	case *schema.Fact_Limit:
+		return "limit/" + about.Limit.GetEndpoint() + "/" + strconv.FormatInt(about.Limit.GetStartedMs(), 10)
 	default:
 		return ""
 	}
--- a/internal/gossiper/gossiper.go
+++ b/internal/gossiper/gossiper.go
@@ -66,6 +66,12 @@
 	return m.Status == schema.Status_STATUS_ALIVE || m.Status == schema.Status_STATUS_SUSPECT
 }
 
+// Expected reports whether the daemon may be running: it is serving, or has not been dead
+// for longer than the grace period.
+func (m Member) Expected(now time.Time, grace time.Duration) bool {
+	return m.Serving() || m.Status == schema.Status_STATUS_DEAD && now.Sub(m.statusSince) < grace
+}
+
 // StoppedVersion is a model version that was taken out of service.
 type StoppedVersion struct {
 	// Version has the form "model@version".
--- a/internal/runner/crashes.go
+++ b/internal/runner/crashes.go
@@ -93,6 +93,8 @@
 			})
 		case *schema.Fact_Sound:
 			r.quarantine.RecordSound(about.Sound.GetPart(), fact.ObservedAt, now)
+		case *schema.Fact_Limit:
+			r.applyLimit(about.Limit, fact.ObservedAt)
 		}
 	}
 	if len(crashes) > 0 {
--- a/internal/runner/listen.go
+++ b/internal/runner/listen.go
@@ -96,6 +96,7 @@
 	gauge("endpoints", func() float64 { endpoints, _ := r.tracker.Counts(); return float64(endpoints) })
 	gauge("ejections", func() float64 { _, ejections := r.tracker.Counts(); return float64(ejections) })
 	gauge("members_serving", func() float64 { return float64(len(r.peers.serving())) })
+	gauge("limited_endpoints", func() float64 { return float64(r.tracker.LimitedEndpoints()) })
 	gauge("suspected_parts", func() float64 { suspects, _ := r.quarantine.Counts(); return float64(suspects) })
 	gauge("quarantined_parts", func() float64 { _, quarantined := r.quarantine.Counts(); return float64(quarantined) })
 	gauge("connections_opened", func() float64 { opened, _ := r.exchanger.Counts(); return float64(opened) })
--- a/internal/runner/peers.go
+++ b/internal/runner/peers.go
@@ -25,6 +25,9 @@
 	// peerIdleTimeout is how long a connection to another daemon may be idle. It bounds
 	// the open connections in a large fleet, in which each probe goes to another daemon.
 	peerIdleTimeout = 10 * time.Second
+	// deadGrace is how long a dead daemon keeps its share of what the daemons divide. It
+	// may be cut off and still use it.
+	deadGrace = 30 * time.Second
 	// maxProbeBytes bounds a message of another daemon.
 	maxProbeBytes = 1 << 20
 )
@@ -33,6 +36,8 @@
 type memberSnapshot struct {
 	// serving are the members that can receive requests, including this daemon.
 	serving []gossiper.Member
+	// expected are the names of the members that may be sending requests.
+	expected []string
 	// otherZone is set if there is a member in another zone, whatever its status.
 	otherZone bool
 }
@@ -40,8 +45,12 @@
 func newMemberSnapshot(state *gossiper.Membership) *memberSnapshot {
 	snapshot := &memberSnapshot{}
 	zone := state.Self().Zone
+	now := time.Now()
 	for _, member := range state.Members() {
 		snapshot.otherZone = snapshot.otherZone || member.Zone != zone
+		if member.Expected(now, deadGrace) {
+			snapshot.expected = append(snapshot.expected, member.Name)
+		}
 		if member.Serving() {
 			snapshot.serving = append(snapshot.serving, member)
 		}
@@ -146,6 +155,10 @@
 // serving returns the members that can receive requests, including this daemon.
 func (p *peers) serving() []gossiper.Member { return p.members.Snapshot().serving }
 
+// expected returns the sorted names of the members that may be sending requests, including
+// this daemon.
+func (p *peers) expected() []string { return p.members.Snapshot().expected }
+
 // knowsOtherZone reports whether a member of another zone is known.
 func (p *peers) knowsOtherZone() bool { return p.members.Snapshot().otherZone }
 
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -124,14 +124,17 @@
 	peers         *peers
 	contacts      *contacts
 	quarantine    *quarantiner.Quarantine
-	tracker       *tracker.Tracker
-	exchanger     *exchanger.Exchanger
-	forwarder     *forwarder.Forwarder
-	metrics       *metrics.Set
-	stopping      atomic.Bool
-	listeners     listeners
-	clientServer  *http.Server
-	otherServers  []*http.Server
+	// sharers are the names of the daemons among which limits were last divided. Only
+	// sweep uses it.
+	sharers      []string
+	tracker      *tracker.Tracker
+	exchanger    *exchanger.Exchanger
+	forwarder    *forwarder.Forwarder
+	metrics      *metrics.Set
+	stopping     atomic.Bool
+	listeners    listeners
+	clientServer *http.Server
+	otherServers []*http.Server
 }
 
 // New returns a daemon with open listeners. Run serves them. The error is that of
@@ -299,6 +302,7 @@
 			r.exchanger.Sweep()
 			r.rollouts.sweepSessions()
 			r.peers.sweep()
+			r.divideLimits()
 			r.quarantine.Sweep(time.Now())
 		case <-ctx.Done():
 			return ctx.Err()
--- a/internal/tracker/choice.go
+++ b/internal/tracker/choice.go
@@ -68,6 +68,8 @@
 	// ReportAge is the age of the endpoint's newest load report when it was
 	// chosen.
 	ReportAge time.Duration
+	// Limited is set if the endpoint had a limit when it was chosen.
+	Limited bool
 }
 
 // Pick chooses an endpoint for the query and adds a request to its load. It
@@ -89,6 +91,7 @@
 	endpoint.inflight++
 	endpoint.pendingPrefill += prefill
 	t.zoneReachability(endpoint.Zone).recordPick(now)
+	limited := t.spendLimit(endpoint, now)
 	return &Choice{
 		tracker:      t,
 		endpoint:     endpoint,
@@ -99,6 +102,7 @@
 		Load:         chosen.Load,
 		Backlog:      chosen.Backlog,
 		ReportAge:    now.Sub(endpoint.reportedAt),
+		Limited:      limited,
 	}, true
 }
 
@@ -170,7 +174,7 @@
 func (t *Tracker) eligible(query Query, now time.Time) []*endpointState {
 	var endpoints []*endpointState
 	for _, endpoint := range t.endpoints {
-		if query.matches(endpoint) && t.available(endpoint, now) {
+		if query.matches(endpoint) && t.available(endpoint, now) && t.withinLimit(endpoint, now) {
 			endpoints = append(endpoints, endpoint)
 		}
 	}
--- a/internal/tracker/tracker.go
+++ b/internal/tracker/tracker.go
@@ -96,11 +96,15 @@
 	meanQueueDelayAt time.Time
 	// meanDurations holds the mean duration of a request by service.
 	meanDurations map[string]time.Duration
-	zone          string
-	random        *rand.Rand
-	now           func() time.Time
-	logger        hclog.Logger
-	ejections     uint64
+	// limits holds the limits of endpoints by their id. share returns this daemon's share
+	// of a limit.
+	limits    map[string]*limitState
+	share     func(endpoint string, perSecond float64) float64
+	zone      string
+	random    *rand.Rand
+	now       func() time.Time
+	logger    hclog.Logger
+	ejections uint64
 }
 
 // New returns a tracker without endpoints for a daemon in the zone. Both random
@@ -112,6 +116,8 @@
 		zones:             map[string]*reachability{},
 		prefillMsPerToken: map[string]float64{},
 		meanDurations:     map[string]time.Duration{},
+		limits:            map[string]*limitState{},
+		share:             func(_ string, perSecond float64) float64 { return perSecond },
 		zone:              zone,
 		random:            random,
 		now:               now,
