Tell the part that crashes endpoints from one that waits at the same ones

Change: a report says whether the endpoint had begun to respond, as it has when it crashes under the request itself. Of parts at one place the one with more of these comes first; a part without any needs five crashes, and is no rival of an earlier part. A part is released when another one is in all of its crashes and more. Why it works: the endpoint crashes when it begins to write, so its own request has begun.

--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -247,7 +247,7 @@
 	}
 	choice.End(trackerOutcome, 0)
 	if failure.Stage == exchanger.Sent && !failure.Unreachable() {
-		c.checkCrash(ctx, choice)
+		c.checkCrash(ctx, choice, false)
 	}
 	c.log("attempt got no response", c.endpointFields(choice, "error", failure.Err, "sent", failure.Stage == exchanger.Sent)...)
 	kind := classifier.EndpointFailed
--- a/internal/forwarder/crash.go
+++ b/internal/forwarder/crash.go
@@ -34,17 +34,17 @@
 
 // checkCrash finds out whether an endpoint that closed the connection before the response
 // had more than begun has crashed, and records it. An endpoint that crashed refuses
-// connections.
-func (c *call) checkCrash(ctx context.Context, choice *tracker.Choice) {
+// connections. Begun says whether the response had begun at all.
+func (c *call) checkCrash(ctx context.Context, choice *tracker.Choice, begun bool) {
 	parts := c.sharedParts()
 	if len(parts) == 0 || ctx.Err() != nil || !c.Exchanger.Refuses(ctx, choice.Address) {
 		return
 	}
 	c.Counters.Crashes.Inc()
-	if !c.ControlPlane.EndpointCrashed(choice.Registration, parts) {
+	if !c.ControlPlane.EndpointCrashed(choice.Registration, parts, begun) {
 		c.mayCrash = true
 	}
-	c.log("endpoint crashed while it had the request", c.endpointFields(choice, "repeatable", !c.mayCrash)...)
+	c.log("endpoint crashed while it had the request", c.endpointFields(choice, "begun", begun, "repeatable", !c.mayCrash)...)
 }
 
 // recordServed records that the response, which began at the time, has more than begun.
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -164,9 +164,10 @@
 	// a request with the parts. The response began at the time.
 	PartsServed(parts []PromptPart, began time.Time)
 	// EndpointCrashed records that an endpoint crashed while it had a request with the
-	// parts, and had written no more than the beginning of the response. It reports
-	// whether the request may be sent to another endpoint.
-	EndpointCrashed(endpoint tracker.Registration, parts []PromptPart) (repeatable bool)
+	// parts, and had written no more than the beginning of the response. Begun says
+	// whether it had begun to respond. The result is whether the request may be sent to
+	// another endpoint.
+	EndpointCrashed(endpoint tracker.Registration, parts []PromptPart, begun bool) (repeatable bool)
 	// RecordRateLimit records what the response to a request, which was sent at a time,
 	// says of the endpoint's limit.
 	RecordRateLimit(endpoint tracker.Registration, limit RateLimit, sentAt time.Time)
--- a/internal/forwarder/stream.go
+++ b/internal/forwarder/stream.go
@@ -152,7 +152,7 @@
 func (c *call) handleBrokenStream(ctx context.Context, choice *tracker.Choice, err error, events *eventBuffer) (attemptStatus, *bufferedResponse, *classifier.Error) {
 	c.endIncomplete(ctx, choice)
 	if events.count <= maxCrashEvents {
-		c.checkCrash(ctx, choice)
+		c.checkCrash(ctx, choice, true)
 	}
 	c.log("endpoint's stream is truncated, aborted or corrupt", c.endpointFields(choice, "error", err, "events", events.count, "after", c.lastEventID)...)
 	c.Counters.Resumes.Inc()
--- a/internal/forwarder/whole.go
+++ b/internal/forwarder/whole.go
@@ -79,7 +79,7 @@
 func (c *call) handleBadResponse(ctx context.Context, choice *tracker.Choice, response *exchanger.Response, err error) *classifier.Error {
 	c.endIncomplete(ctx, choice)
 	if !c.responseStarted {
-		c.checkCrash(ctx, choice)
+		c.checkCrash(ctx, choice, true)
 	}
 	c.log("response is truncated or corrupt", c.endpointFields(choice, "error", err, "status", response.Status)...)
 	return classifier.Wrap(classifier.EndpointFailed, err, "the response of endpoint %s is truncated or corrupt", choice.ID)
--- a/internal/gossiper/facts.go
+++ b/internal/gossiper/facts.go
@@ -26,7 +26,11 @@
 func FactKey(message *schema.Fact) string {
 	switch about := message.GetAbout().(type) {
 	case *schema.Fact_Crash:
-		return "crash/" + about.Crash.GetEndpoint() + "/" + strconv.FormatUint(about.Crash.GetPart(), 16)
+		key := "crash/" + about.Crash.GetEndpoint() + "/" + strconv.FormatUint(about.Crash.GetPart(), 16)
+		if about.Crash.GetBegun() {
+			key += "/begun"
+		}
+		return key
 	case *schema.Fact_Sound:
 		return "sound/" + strconv.FormatUint(about.Sound.GetPart(), 16)
 	case *schema.Fact_Limit:
--- a/internal/quarantiner/quarantiner.go
+++ b/internal/quarantiner/quarantiner.go
@@ -2,11 +2,11 @@
 // that all daemons report, and says which requests must not be sent. It does no I/O:
 // times are arguments, and what other daemons must learn is returned.
 //
-// An endpoint that crashes takes many requests with it. Only those whose response had not
-// begun may have caused the crash. Of their parts, the one that caused it is in many
-// crashes and in no served request. A part before it in the prompt is in as many crashes
-// where requests with it are rare, so of several parts that explain the same crashes the
-// last one in the prompt is taken.
+// An endpoint that crashes takes many requests with it. Only those whose response had no
+// more than begun may have caused the crash, and rather those whose response had begun. Of
+// their parts, the one that caused it is in many crashes and in no served request. A part
+// before it in the prompt is in as many crashes where requests with it are rare, so of
+// several parts that explain the same crashes the last one in the prompt is taken.
 package quarantiner
 
 import (
@@ -22,7 +22,7 @@
 	// minCrashesIfDoubtful applies to a part that is less likely to be the cause: requests
 	// with it were served in the servedWindow before its first crash, and must then fail
 	// to be served again for servedAgainTime, or a later part of the prompt is in most of
-	// the crashes too.
+	// the crashes too, or no endpoint had begun to respond.
 	minCrashesIfDoubtful = 5
 	servedWindow         = 10 * time.Second
 	servedAgainTime      = time.Second
@@ -45,8 +45,10 @@
 	id uint64
 	// place is the place of the part in the prompt, from 0.
 	place int
-	// crashes holds the times of the crashes by endpoint.
+	// crashes holds the times of the crashes by endpoint. begun are the endpoints that had
+	// begun to respond.
 	crashes map[string]time.Time
+	begun   map[string]bool
 	// servedBefore is set if requests with the part were served shortly before the first
 	// crash.
 	servedBefore bool
@@ -94,19 +96,35 @@
 	return count
 }
 
+// isDominated reports whether another part explains all crashes of this one, and more.
+func (s *suspect) isDominated(other *suspect) bool {
+	return !other.servedBefore && len(other.crashes) > len(s.crashes) && len(other.begun) >= len(s.begun) && s.unexplained(asSet(other.crashes)) == 0
+}
+
+func asSet(crashes map[string]time.Time) map[string]bool {
+	set := make(map[string]bool, len(crashes))
+	for endpoint := range crashes {
+		set[endpoint] = true
+	}
+	return set
+}
+
 // isRival reports whether another part may rather cause the crashes of this one: it is
 // later in the prompt and in nearly as many of them.
 func (s *suspect) isRival(other *suspect) bool {
 	if other.place <= s.place || other.servedBefore {
 		return false
 	}
-	shared := 0
+	shared, begun := 0, 0
 	for endpoint := range s.crashes {
 		if _, ok := other.crashes[endpoint]; ok {
 			shared++
 		}
+		if other.begun[endpoint] {
+			begun++
+		}
 	}
-	return shared >= minCrashes-1
+	return shared >= minCrashes-1 && begun > 0
 }
 
 // Quarantine holds the parts that are suspected or quarantined. It is safe for concurrent
@@ -146,17 +164,19 @@
 	Place int
 	// Endpoint is the id and incarnation of the endpoint.
 	Endpoint string
-	At       time.Time
+	// Begun is set if the endpoint had begun to respond.
+	Begun bool
+	At    time.Time
 }
 
 // Suspects returns the crashes of the shared parts of a request that was at a crashed
 // endpoint. If one of them is quarantined, it explains the crash alone.
-func (q *Quarantine) Suspects(endpoint string, parts []uint64, at time.Time) []Crash {
+func (q *Quarantine) Suspects(endpoint string, parts []uint64, begun bool, at time.Time) []Crash {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	var crashes []Crash
 	for place, id := range parts {
-		crash := Crash{Part: id, Place: place, Endpoint: endpoint, At: at}
+		crash := Crash{Part: id, Place: place, Endpoint: endpoint, Begun: begun, At: at}
 		if s := q.suspects[id]; s != nil && s.quarantined {
 			return []Crash{crash}
 		}
@@ -173,12 +193,15 @@
 		s := q.suspects[crash.Part]
 		if s == nil {
 			servedAt, served := q.served[crash.Part]
-			s = &suspect{id: crash.Part, place: crash.Place, crashes: map[string]time.Time{}, servedBefore: served && now.Sub(servedAt) < servedWindow}
+			s = &suspect{id: crash.Part, place: crash.Place, crashes: map[string]time.Time{}, begun: map[string]bool{}, servedBefore: served && now.Sub(servedAt) < servedWindow}
 			q.suspects[crash.Part] = s
 		}
 		if _, known := s.crashes[crash.Endpoint]; !known {
 			s.crashes[crash.Endpoint] = crash.At
 		}
+		if crash.Begun {
+			s.begun[crash.Endpoint] = true
+		}
 	}
 	q.evaluate(now)
 }
@@ -187,6 +210,7 @@
 func (q *Quarantine) evaluate(now time.Time) {
 	explained := map[string]bool{}
 	q.pending = 0
+	q.releaseDominated()
 	for _, s := range q.byLikelihood() {
 		if !s.quarantined {
 			if !q.isCause(s, s.unexplained(explained), now) {
@@ -201,6 +225,22 @@
 	}
 }
 
+// releaseDominated ends the quarantine of parts that were taken for the cause before there
+// were reports on the part that is.
+func (q *Quarantine) releaseDominated() {
+	for _, s := range q.suspects {
+		if !s.quarantined {
+			continue
+		}
+		for _, other := range q.suspects {
+			if s.isDominated(other) {
+				q.release(s)
+				break
+			}
+		}
+	}
+}
+
 // isCause reports whether so many crashes, which no likelier part explains, show that a
 // part causes them.
 func (q *Quarantine) isCause(s *suspect, unexplained int, now time.Time) bool {
@@ -211,6 +251,8 @@
 		return unexplained >= minCrashesIfDoubtful && now.Sub(s.firstCrash()) >= servedAgainTime
 	case unexplained >= minCrashesIfDoubtful:
 		return true
+	case len(s.begun) == 0:
+		return false
 	}
 	for _, other := range q.suspects {
 		if s.isRival(other) {
@@ -255,6 +297,7 @@
 			compareBools(b.quarantined, a.quarantined),
 			compareBools(a.servedBefore, b.servedBefore),
 			cmp.Compare(b.place, a.place),
+			cmp.Compare(len(b.begun), len(a.begun)),
 			cmp.Compare(len(b.crashes), len(a.crashes)),
 			cmp.Compare(a.id, b.id))
 	})
@@ -311,6 +354,7 @@
 	for endpoint, at := range s.crashes {
 		if at.Before(began) {
 			delete(s.crashes, endpoint)
+			delete(s.begun, endpoint)
 		}
 	}
 	if len(s.crashes) == before {
@@ -373,6 +417,7 @@
 		for endpoint, at := range s.crashes {
 			if now.Sub(at) >= Lifetime {
 				delete(s.crashes, endpoint)
+				delete(s.begun, endpoint)
 			}
 		}
 		if len(s.crashes) > 0 {
--- a/internal/quarantiner/quarantiner_test.go
+++ b/internal/quarantiner/quarantiner_test.go
@@ -24,6 +24,8 @@
 	// the time.
 	endpoint string
 	parts    []uint64
+	// waiting is set if the endpoint had not begun to respond.
+	waiting bool
 }
 
 // apply applies events to a quarantine.
@@ -34,7 +36,7 @@
 			q.RecordServed(e.parts, now, now)
 			continue
 		}
-		q.RecordCrashes(q.Suspects(e.endpoint, e.parts, now), now)
+		q.RecordCrashes(q.Suspects(e.endpoint, e.parts, !e.waiting, now), now)
 	}
 }
 
@@ -55,7 +57,7 @@
 	crashes := func(parts ...[]uint64) []event {
 		var events []event
 		for i, list := range parts {
-			events = append(events, event{1 + float64(i)/10, fmt.Sprintf("e%d", i), list})
+			events = append(events, event{1 + float64(i)/10, fmt.Sprintf("e%d", i), list, false})
 		}
 		return events
 	}
@@ -69,18 +71,24 @@
 		"last shared part":                      {crashes([]uint64{1, 2, 3}, []uint64{1, 2, 3}, []uint64{1, 2, 3}), 2, []uint64{3}},
 		"first part":                            {crashes([]uint64{1, 2, 3}, []uint64{1, 4, 5}, []uint64{1, 6, 7}), 2, []uint64{1}},
 		"middle part":                           {crashes([]uint64{1, 2, 3}, []uint64{1, 2, 5}, []uint64{1, 2, 7}), 2, []uint64{2}},
-		"a report of the later part is missing": {append(crashes([]uint64{1, 2, 3}, []uint64{1, 2, 3}), event{1.5, "e9", []uint64{1, 2}}), 2, nil},
+		"a report of the later part is missing": {append(crashes([]uint64{1, 2, 3}, []uint64{1, 2, 3}), event{1.5, "e9", []uint64{1, 2}, false}), 2, nil},
 		"two prompts under one bad part":        {crashes([]uint64{1, 2}, []uint64{1, 3}, []uint64{1, 2}, []uint64{1, 3}, []uint64{1, 4}), 2, []uint64{1}},
-		"one endpoint that crashes for many":    {[]event{{1, "e1", []uint64{1, 2}}, {1, "e1", []uint64{1, 2}}, {1, "e1", []uint64{1, 2}}}, 2, nil},
-		"endpoints crash, each under another":   {crashes([]uint64{1}, []uint64{2}, []uint64{3}, []uint64{4}, []uint64{5}), 2, nil},
-		"part that is served between the crashes": {[]event{{1, "e1", []uint64{1}}, {1.1, "", []uint64{1}}, {1.2, "e2", []uint64{1}}, {1.3, "", []uint64{1}},
-			{1.4, "e3", []uint64{1}}, {1.5, "", []uint64{1}}, {1.6, "e4", []uint64{1}}}, 2, nil},
-		"part that was served just before": {append([]event{{0.5, "", []uint64{1, 2}}}, crashes([]uint64{1, 2, 3}, []uint64{1, 2, 3}, []uint64{1, 2, 3}, []uint64{1, 2, 3})...), 3, []uint64{3}},
-		"part that turns bad": {append([]event{{0.5, "", []uint64{1, 2}}}, append(
-			crashes([]uint64{1, 2}, []uint64{1, 2}, []uint64{1, 2}, []uint64{1, 2}, []uint64{1, 2}), event{2.1, "e9", []uint64{1, 2}})...), 3, []uint64{2}},
+		"another part waits at the same endpoints": {append(crashes([]uint64{1, 3}, []uint64{1, 3}, []uint64{1, 3}),
+			event{1, "e0", []uint64{1, 2}, true}, event{1.1, "e1", []uint64{1, 2}, true}, event{1.2, "e2", []uint64{1, 2}, true}), 2, []uint64{3}},
+		"a later part waits at the same endpoints": {append(crashes([]uint64{3, 4}, []uint64{3, 5}, []uint64{3, 6}),
+			event{1, "e0", []uint64{1, 2}, true}, event{1.1, "e1", []uint64{1, 2}, true}, event{1.2, "e2", []uint64{1, 2}, true}), 2, []uint64{3}},
+		"another part was taken for the cause": {append([]event{{1, "e0", []uint64{1, 2}, false}, {1.1, "e1", []uint64{1, 2}, false}, {1.2, "e2", []uint64{1, 2}, false}, {1.4, "e9", []uint64{5}, false}},
+			event{1.5, "e0", []uint64{1, 3}, false}, event{1.5, "e1", []uint64{1, 3}, false}, event{1.5, "e2", []uint64{1, 3}, false}, event{1.6, "e3", []uint64{1, 3}, false}), 2, []uint64{3}},
+		"one endpoint that crashes for many":  {[]event{{1, "e1", []uint64{1, 2}, false}, {1, "e1", []uint64{1, 2}, false}, {1, "e1", []uint64{1, 2}, false}}, 2, nil},
+		"endpoints crash, each under another": {crashes([]uint64{1}, []uint64{2}, []uint64{3}, []uint64{4}, []uint64{5}), 2, nil},
+		"part that is served between the crashes": {[]event{{1, "e1", []uint64{1}, false}, {1.1, "", []uint64{1}, false}, {1.2, "e2", []uint64{1}, false}, {1.3, "", []uint64{1}, false},
+			{1.4, "e3", []uint64{1}, false}, {1.5, "", []uint64{1}, false}, {1.6, "e4", []uint64{1}, false}}, 2, nil},
+		"part that was served just before": {append([]event{{0.5, "", []uint64{1, 2}, false}}, crashes([]uint64{1, 2, 3}, []uint64{1, 2, 3}, []uint64{1, 2, 3}, []uint64{1, 2, 3})...), 3, []uint64{3}},
+		"part that turns bad": {append([]event{{0.5, "", []uint64{1, 2}, false}}, append(
+			crashes([]uint64{1, 2}, []uint64{1, 2}, []uint64{1, 2}, []uint64{1, 2}, []uint64{1, 2}), event{2.1, "e9", []uint64{1, 2}, false})...), 3, []uint64{2}},
 		"two bad parts": {crashes([]uint64{1, 2}, []uint64{1, 3}, []uint64{1, 2}, []uint64{1, 3}, []uint64{1, 2}, []uint64{1, 3}), 2, []uint64{2, 3}},
-		"wrong one is served again": {append(crashes([]uint64{1, 2}, []uint64{1, 2}, []uint64{1, 2}), event{1.5, "", []uint64{2}},
-			event{1.6, "e7", []uint64{1, 2}}, event{1.7, "", []uint64{1}}), 2, nil},
+		"wrong one is served again": {append(crashes([]uint64{1, 2}, []uint64{1, 2}, []uint64{1, 2}), event{1.5, "", []uint64{2}, false},
+			event{1.6, "e7", []uint64{1, 2}, false}, event{1.7, "", []uint64{1}, false}), 2, nil},
 		"long ago": {crashes([]uint64{1}, []uint64{1}, []uint64{1}), 1 + quarantiner.Lifetime.Seconds() + 1, nil},
 	}
 	for name, row := range rows {
@@ -99,7 +107,7 @@
 // crashes endpoints, and against trials so frequent that they crash many.
 func TestOneDaemonTriesAgain(t *testing.T) {
 	q := quarantiner.New(func(quarantiner.Change) {})
-	apply(q, []event{{1, "e1", []uint64{1}}, {1, "e2", []uint64{1}}, {1, "e3", []uint64{1}}})
+	apply(q, []event{{1, "e1", []uint64{1}, false}, {1, "e2", []uint64{1}, false}, {1, "e3", []uint64{1}, false}})
 	trials := 0
 	trial := func(seconds float64, owner bool) bool {
 		_, _, isBlocked := q.Check([]uint64{1}, at(seconds), func(uint64) bool { return owner })
@@ -111,13 +119,13 @@
 		}
 		if trial(seconds, true) {
 			trials++
-			apply(q, []event{{seconds, fmt.Sprintf("e%v", seconds), []uint64{1}}})
+			apply(q, []event{{seconds, fmt.Sprintf("e%v", seconds), []uint64{1}, false}})
 		}
 	}
 	if trials < 1 || trials > 3 {
 		t.Errorf("trials in two minutes got %d, want 1 to 3", trials)
 	}
-	apply(q, []event{{130, "", []uint64{1}}})
+	apply(q, []event{{130, "", []uint64{1}, false}})
 	if !trial(131, false) {
 		t.Error("request got refused after a trial was served, want it sent")
 	}
@@ -131,9 +139,9 @@
 		parts  []uint64
 		want   bool
 	}{
-		"first crash with the part":      {[]event{{1, "e1", []uint64{1, 2}}}, []uint64{1, 2}, true},
-		"second crash with the part":     {[]event{{1, "e1", []uint64{1, 2}}, {1.1, "e2", []uint64{1, 2}}}, []uint64{1, 2}, false},
-		"second crash, but parts served": {[]event{{0.5, "", []uint64{1, 2}}, {1, "e1", []uint64{1, 2}}, {1.1, "e2", []uint64{1, 2}}}, []uint64{1, 2}, true},
+		"first crash with the part":      {[]event{{1, "e1", []uint64{1, 2}, false}}, []uint64{1, 2}, true},
+		"second crash with the part":     {[]event{{1, "e1", []uint64{1, 2}, false}, {1.1, "e2", []uint64{1, 2}, false}}, []uint64{1, 2}, false},
+		"second crash, but parts served": {[]event{{0.5, "", []uint64{1, 2}, false}, {1, "e1", []uint64{1, 2}, false}, {1.1, "e2", []uint64{1, 2}, false}}, []uint64{1, 2}, true},
 		"no parts":                       {nil, nil, true},
 	}
 	for name, row := range rows {
@@ -194,9 +202,9 @@
 				late++
 			}
 			endpoint := fmt.Sprintf("e%d", crashes)
-			apply(q, []event{{second, endpoint, parts}})
+			apply(q, []event{{second, endpoint, parts, false}})
 			for range random.IntN(5) {
-				apply(q, []event{{second, endpoint, prompt(false)}})
+				apply(q, []event{{second, endpoint, prompt(false), true}})
 			}
 		}
 		if late > maxLate {
--- a/internal/runner/crashes.go
+++ b/internal/runner/crashes.go
@@ -58,20 +58,20 @@
 
 // EndpointCrashed implements forwarder.ControlPlane. An endpoint that is stopping or gone
 // is not taken for crashed.
-func (r *Runner) EndpointCrashed(endpoint tracker.Registration, parts []forwarder.PromptPart) (repeatable bool) {
+func (r *Runner) EndpointCrashed(endpoint tracker.Registration, parts []forwarder.PromptPart, begun bool) (repeatable bool) {
 	ids := partIDs(parts)
 	if !r.tracker.Serving(endpoint.ID) {
 		return true
 	}
 	now := time.Now()
 	incarnation := endpoint.ID + "@" + strconv.FormatInt(endpoint.Started.UnixMilli(), 36)
-	crashes := r.quarantine.Suspects(incarnation, ids, now)
+	crashes := r.quarantine.Suspects(incarnation, ids, begun, now)
 	r.quarantine.RecordCrashes(crashes, now)
 	var facts []*schema.Fact
 	for _, crash := range crashes {
 		facts = append(facts, &schema.Fact{
 			Lifetime: durationpb.New(quarantiner.Lifetime),
-			About:    &schema.Fact_Crash{Crash: &schema.PartCrash{Part: crash.Part, Place: uint32(crash.Place), Endpoint: crash.Endpoint}},
+			About:    &schema.Fact_Crash{Crash: &schema.PartCrash{Part: crash.Part, Place: uint32(crash.Place), Endpoint: crash.Endpoint, Begun: crash.Begun}},
 		})
 	}
 	r.peers.observe(facts...)
@@ -89,6 +89,7 @@
 				Part:     about.Crash.GetPart(),
 				Place:    int(about.Crash.GetPlace()),
 				Endpoint: about.Crash.GetEndpoint(),
+				Begun:    about.Crash.GetBegun(),
 				At:       fact.ObservedAt,
 			})
 		case *schema.Fact_Sound:
