--- a/internal/forwarder/stream.go
+++ b/internal/forwarder/stream.go
@@ -121,7 +121,7 @@
 		choice.End(tracker.Success, pace)
 		c.recordResult(choice, Completed, c.ttft, pace)
 		c.countServed()
-		c.log("stream served", c.endpointFields(choice, "first", noter.FormatDuration(c.ttft), "events", events.count, "confidence", info.Confidence)...)
+		c.log("stream served", c.endpointFields(choice, "first", noter.FormatDuration(c.ttft), "events", events.count, "pace", noter.FormatDuration(pace), "confidence", info.Confidence)...)
 		return statusDone, nil, nil
 	}
 	return c.handleBrokenStream(ctx, choice, err, events)
--- a/internal/runner/progress.go
+++ b/internal/runner/progress.go
@@ -81,6 +81,10 @@
 		Ttft:     balance.Sum.TTFT,
 		Pace:     balance.Sum.Pace,
 		At:       durationpb.New(balance.At),
+
+		TtftFloor:  balance.Sum.TTFTFloor,
+		PaceFloor:  balance.Sum.PaceFloor,
+		PaceNarrow: balance.Sum.PaceNarrow,
 	}
 	return func(ctx context.Context) error {
 		ctx, cancel := context.WithTimeout(ctx, writeTimeout)
@@ -147,7 +151,7 @@
 	if next == promoter.RolledBack {
 		status.Reason = view.Reason()
 		m.logger.Warn("rolling back", "service", status.Service, "target", status.Target, "reason", status.Reason,
-			"ttft_balance", view.Balance.TTFT, "pace_balance", view.Balance.Pace, "elapsed", noter.FormatDuration(view.Elapsed), "old_endpoints", oldEndpoints, "new_endpoints", newEndpoints)
+			"ttft_balance", view.Balance.TTFT, "pace_balance", view.Balance.Pace, "ttft_floor", view.Balance.TTFTFloor, "pace_floor", view.Balance.PaceFloor, "pace_narrow", view.Balance.PaceNarrow, "elapsed", noter.FormatDuration(view.Elapsed), "old_endpoints", oldEndpoints, "new_endpoints", newEndpoints)
 	}
 	return m.statusWrite(status)
 }
--- a/internal/runner/rollouts.go
+++ b/internal/runner/rollouts.go
@@ -185,7 +185,8 @@
 		return
 	}
 	now := m.deps.Clock()
-	m.logger.Info("rollout state changed", "service", rollout.order.Service, "target", rollout.order.Target,
+	balance := m.pooledBalance(rollout)
+	m.logger.Info("rollout state changed", "ttft_balance", balance.TTFT, "pace_balance", balance.Pace, "ttft_floor", balance.TTFTFloor, "pace_floor", balance.PaceFloor, "pace_narrow", balance.PaceNarrow, "service", rollout.order.Service, "target", rollout.order.Target,
 		"from", rollout.state.String(), "to", state.String(), "runs", rollout.evidence.Results(), "elapsed", noter.FormatDuration(now-rollout.firstSeen))
 	rollout.state = state
 	rollout.status = status
@@ -214,7 +215,7 @@
 			continue
 		}
 		rollout.peerEvidence[record.Key] = report.GetDoubts()
-		rollout.peerBalances[record.Key] = promoter.Balance{Sum: promoter.Score{TTFT: report.GetTtft(), Pace: report.GetPace()}, At: report.GetAt().AsDuration()}
+		rollout.peerBalances[record.Key] = promoter.Balance{Sum: promoter.Score{TTFT: report.GetTtft(), Pace: report.GetPace(), TTFTFloor: report.GetTtftFloor(), PaceFloor: report.GetPaceFloor(), PaceNarrow: report.GetPaceNarrow()}, At: report.GetAt().AsDuration()}
 		for _, digest := range report.GetSessions() {
 			rollout.peerOldVersionSessions[digest] = true
 		}
@@ -252,7 +253,7 @@
 	if isSlower || promoter.IsWorse(reports, m.endpointsInUse(rollout)) {
 		rollout.worse = true
 		m.logger.Warn("evidence shows that the new version is worse", "service", rollout.order.Service, "target", rollout.order.Target,
-			"doubts", reports, "ttft_balance", balance.TTFT, "pace_balance", balance.Pace, "runs", rollout.evidence.Results(), "elapsed", noter.FormatDuration(m.elapsed(rollout)), "results_age", noter.FormatDuration(m.topicAge(m.resultsTopic)))
+			"doubts", reports, "ttft_balance", balance.TTFT, "pace_balance", balance.Pace, "ttft_floor", balance.TTFTFloor, "pace_floor", balance.PaceFloor, "pace_narrow", balance.PaceNarrow, "runs", rollout.evidence.Results(), "elapsed", noter.FormatDuration(m.elapsed(rollout)), "results_age", noter.FormatDuration(m.topicAge(m.resultsTopic)))
 	}
 }
 
