Leave the contacts of a zone to its zone reader

What callers saw: nothing. Change: only the zone reader exchanges contacts, or a daemon that knows no other. Evidence: TestCallsOfLargeZone (frozen reader), TestFailedZoneReaderIsReplaced (log silent to the others) and TestLargeZoneServesSoonAfterStart failed before and pass.

--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -179,6 +179,13 @@
 	return r.role == Following
 }
 
+// Reads reports whether this daemon is the zone reader.
+func (r *Relayer) Reads() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.role == Reading
+}
+
 // RelayedReads returns the number of pages that were read from another daemon.
 func (r *Relayer) RelayedReads() uint64 { return r.relayedReads.Load() }
 
--- a/internal/runner/contacts.go
+++ b/internal/runner/contacts.go
@@ -57,7 +57,9 @@
 		case <-ctx.Done():
 			return ctx.Err()
 		}
-		if c.relayer.Following() || !contactsDue(reads, c.peers.knowsOtherZone(), time.Since(readAt)) {
+		// A daemon that has lost its zone reader leaves the contacts to the next one.
+		isContact := c.relayer.Reads() || len(c.peers.serving()) <= 1 && !c.relayer.Following()
+		if !isContact || !contactsDue(reads, c.peers.knowsOtherZone(), time.Since(readAt)) {
 			continue
 		}
 		if err := c.exchange(ctx, &published); err != nil {
