--- a/internal/exchanger/exchanger_test.go
+++ b/internal/exchanger/exchanger_test.go
@@ -186,3 +186,46 @@
 		})
 	}
 }
+
+// TestResponseThatEndsWithConnection guards against a response without a length that was
+// reset on the way and counts as complete, and against one that is complete and counts as
+// broken.
+func TestResponseThatEndsWithConnection(t *testing.T) {
+	rows := map[string]struct {
+		reset bool
+		want  string
+	}{
+		"closed": {false, "whole"},
+		"reset":  {true, ""},
+	}
+	for name, row := range rows {
+		t.Run(name, func(t *testing.T) {
+			address := listen(t, func(connection net.Conn, _ int) {
+				defer func() { _ = connection.Close() }()
+				if _, err := readRequest(bufio.NewReader(connection)); err != nil {
+					return
+				}
+				_, _ = io.WriteString(connection, "HTTP/1.1 200 OK\r\n\r\nwhole")
+				if row.reset {
+					// The bytes must have arrived before the reset discards them.
+					time.Sleep(50 * time.Millisecond)
+					_ = connection.(*net.TCPConn).SetLinger(0)
+				}
+			})
+			e := exchanger.New(connector.TCP{}, anyResponse)
+			defer e.Close()
+			response, failure := e.Do(t.Context(), address, &exchanger.Request{Method: "GET", Target: "/x", Host: "h", Header: http.Header{}})
+			if failure != nil {
+				t.Fatalf("Do() got failure %v, want a response", failure)
+			}
+			defer response.Close()
+			body, err := io.ReadAll(response)
+			if row.reset != (err != nil) || !row.reset && string(body) != row.want {
+				t.Errorf("body got %q with error %v, want an error: %t", body, err, row.reset)
+			}
+			if response.SelfDelimited() {
+				t.Error("SelfDelimited() got true, want false without a length")
+			}
+		})
+	}
+}
