--- a/internal/exchanger/exchanger_test.go
+++ b/internal/exchanger/exchanger_test.go
@@ -202,7 +202,7 @@
 		t.Run(name, func(t *testing.T) {
 			address := listen(t, func(connection net.Conn, _ int) {
 				defer func() { _ = connection.Close() }()
-				if _, err := readRequest(bufio.NewReader(connection)); err != nil {
+				if got, err := readRequest(bufio.NewReader(connection)); err != nil || got != "" {
 					return
 				}
 				_, _ = io.WriteString(connection, "HTTP/1.1 200 OK\r\n\r\nwhole")
