--- a/internal/runner/crashes.go
+++ b/internal/runner/crashes.go
@@ -7,7 +7,6 @@
 	"google.golang.org/protobuf/types/known/durationpb"
 
 	"quetzalgrade.example/quetzalgrade/internal/forwarder"
-	"quetzalgrade.example/quetzalgrade/internal/gossiper"
 	"quetzalgrade.example/quetzalgrade/internal/quarantiner"
 	"quetzalgrade.example/quetzalgrade/internal/tracker"
 	"quetzalgrade.example/quetzalgrade/pkg/schema"
@@ -77,28 +76,3 @@
 	r.peers.observe(facts...)
 	return r.quarantine.MayRepeat(ids)
 }
-
-// applyFacts applies facts that other daemons have observed.
-func (r *Runner) applyFacts(facts []gossiper.Fact) {
-	now := time.Now()
-	var crashes []quarantiner.Crash
-	for _, fact := range facts {
-		switch about := fact.Message.GetAbout().(type) {
-		case *schema.Fact_Crash:
-			crashes = append(crashes, quarantiner.Crash{
-				Part:     about.Crash.GetPart(),
-				Place:    int(about.Crash.GetPlace()),
-				Endpoint: about.Crash.GetEndpoint(),
-				Begun:    about.Crash.GetBegun(),
-				At:       fact.ObservedAt,
-			})
-		case *schema.Fact_Sound:
-			r.quarantine.RecordSound(about.Sound.GetPart(), fact.ObservedAt, now)
-		case *schema.Fact_Limit:
-			r.applyLimit(about.Limit, fact.ObservedAt)
-		}
-	}
-	if len(crashes) > 0 {
-		r.quarantine.RecordCrashes(crashes, now)
-	}
-}
--- /dev/null
+++ b/internal/runner/facts.go
@@ -0,0 +1,34 @@
+package runner
+
+import (
+	"time"
+
+	"quetzalgrade.example/quetzalgrade/internal/gossiper"
+	"quetzalgrade.example/quetzalgrade/internal/quarantiner"
+	"quetzalgrade.example/quetzalgrade/pkg/schema"
+)
+
+// applyFacts applies facts that other daemons have observed.
+func (r *Runner) applyFacts(facts []gossiper.Fact) {
+	now := time.Now()
+	var crashes []quarantiner.Crash
+	for _, fact := range facts {
+		switch about := fact.Message.GetAbout().(type) {
+		case *schema.Fact_Crash:
+			crashes = append(crashes, quarantiner.Crash{
+				Part:     about.Crash.GetPart(),
+				Place:    int(about.Crash.GetPlace()),
+				Endpoint: about.Crash.GetEndpoint(),
+				Begun:    about.Crash.GetBegun(),
+				At:       fact.ObservedAt,
+			})
+		case *schema.Fact_Sound:
+			r.quarantine.RecordSound(about.Sound.GetPart(), fact.ObservedAt, now)
+		case *schema.Fact_Limit:
+			r.applyLimit(about.Limit, fact.ObservedAt)
+		}
+	}
+	if len(crashes) > 0 {
+		r.quarantine.RecordCrashes(crashes, now)
+	}
+}
