Keep a part quarantined when an earlier part is in more crashes

What callers would see: the part that crashes endpoints is released again and again, while the first part of its prompts, which other requests share, is in one more crash. Cause: a part was released for any part that is in all of its crashes and more; a part before it in the prompt always may be. Change: only for a part at the same or a later place. Evidence: the row "an earlier part is in a later crash too" fails before and passes.

--- a/internal/quarantiner/quarantiner_test.go
+++ b/internal/quarantiner/quarantiner_test.go
@@ -79,6 +79,8 @@
 			event{1, "e0", []uint64{1, 2}, true}, event{1.1, "e1", []uint64{1, 2}, true}, event{1.2, "e2", []uint64{1, 2}, true}), 2, []uint64{3}},
 		"another part was taken for the cause": {append([]event{{1, "e0", []uint64{1, 2}, false}, {1.1, "e1", []uint64{1, 2}, false}, {1.2, "e2", []uint64{1, 2}, false}, {1.4, "e9", []uint64{5}, false}},
 			event{1.5, "e0", []uint64{1, 3}, false}, event{1.5, "e1", []uint64{1, 3}, false}, event{1.5, "e2", []uint64{1, 3}, false}, event{1.6, "e3", []uint64{1, 3}, false}), 2, []uint64{3}},
+		"an earlier part is in a later crash too": {append(crashes([]uint64{1, 2}, []uint64{1, 2}, []uint64{1, 2}),
+			event{1.4, "e8", []uint64{5}, false}, event{1.5, "e9", []uint64{1, 6}, false}, event{1.9, "e7", []uint64{7}, false}), 2, []uint64{2}},
 		"one endpoint that crashes for many":  {[]event{{1, "e1", []uint64{1, 2}, false}, {1, "e1", []uint64{1, 2}, false}, {1, "e1", []uint64{1, 2}, false}}, 2, nil},
 		"endpoints crash, each under another": {crashes([]uint64{1}, []uint64{2}, []uint64{3}, []uint64{4}, []uint64{5}), 2, nil},
 		"part that is served between the crashes": {[]event{{1, "e1", []uint64{1}, false}, {1.1, "", []uint64{1}, false}, {1.2, "e2", []uint64{1}, false}, {1.3, "", []uint64{1}, false},
--- a/internal/quarantiner/suspect.go
+++ b/internal/quarantiner/suspect.go
@@ -62,9 +62,10 @@
 	return count
 }
 
-// isDominated reports whether another part explains all crashes of this one, and more.
+// isDominated reports whether another part explains all crashes of this one, and more. An
+// earlier part of the prompt may be in more crashes because other requests share it.
 func (s *suspect) isDominated(other *suspect) bool {
-	return !other.servedBefore && len(other.crashes) > len(s.crashes) && len(other.begun) >= len(s.begun) && s.unexplained(asSet(other.crashes)) == 0
+	return !other.servedBefore && other.place >= s.place && len(other.crashes) > len(s.crashes) && len(other.begun) >= len(s.begun) && s.unexplained(asSet(other.crashes)) == 0
 }
 
 func asSet(crashes map[string]time.Time) map[string]bool {
