Write the full state of a rollout while there is time

Cause: all sums spoke for it (pace_floor -21, ttft_floor -37), but in such an order the full state must be written within one second, and each daemon delayed its write by up to one, or up to two if it follows a zone reader. Change: all daemons together use at most half of the time that is left.

--- a/internal/promoter/promoter.go
+++ b/internal/promoter/promoter.go
@@ -214,8 +214,11 @@
 
 // undecided reports whether it is too late for the full state, because the rollout
 // could not be completed in time any more.
-func (v View) undecided() bool {
-	return v.Elapsed >= v.Order.Duration-completeMargin-v.settleTime()-writeTime
+func (v View) undecided() bool { return v.TimeForFull() <= 0 }
+
+// TimeForFull returns the time that is left to write the full state.
+func (v View) TimeForFull() time.Duration {
+	return v.Order.Duration - completeMargin - v.settleTime() - writeTime - v.Elapsed
 }
 
 // settleTime returns the least time between the full and the completed state.
--- a/internal/runner/progress.go
+++ b/internal/runner/progress.go
@@ -129,7 +129,7 @@
 		return nil
 	}
 	if rollout.writeAt == 0 {
-		rollout.writeAt = now + m.writeDelay(next)
+		rollout.writeAt = now + m.writeDelay(next, view)
 	}
 	if now < rollout.writeAt {
 		return nil
@@ -158,11 +158,8 @@
 // writeDelay returns how long this daemon waits before it writes a state. The zone
 // readers see a change first and write first, so that the other daemons, of which there
 // are many, rarely make a conflicting write.
-func (m *rolloutManager) writeDelay(next promoter.State) time.Duration {
-	jitter := writeJitter
-	if next == promoter.RolledBack {
-		jitter = rollbackJitter
-	}
+func (m *rolloutManager) writeDelay(next promoter.State, view promoter.View) time.Duration {
+	jitter := jitterOf(next, view)
 	delay := time.Duration(rand.Int64N(int64(jitter)))
 	if m.relayer.Following() {
 		delay += jitter
@@ -170,6 +167,19 @@
 	return delay
 }
 
+// jitterOf returns the jitter of the daemons' writes of a state. A short order leaves little
+// time to write the full state, of which all of them together use at most half.
+func jitterOf(next promoter.State, view promoter.View) time.Duration {
+	switch next {
+	case promoter.RolledBack:
+		return rollbackJitter
+	case promoter.Full:
+		return max(minWriteJitter, min(writeJitter, view.TimeForFull()/4))
+	default:
+		return writeJitter
+	}
+}
+
 // statusWrite returns a write of a state. The append is conditional on the
 // topic's end, so that only one of the daemons writes the state. A conflict is
 // not an error: another daemon has written first.
--- a/internal/runner/rollouts.go
+++ b/internal/runner/rollouts.go
@@ -30,6 +30,7 @@
 	// writeJitter spreads the daemons' attempts to write the same state, rollbackJitter
 	// those to write a roll-back. Daemons stop using a bad version before that.
 	writeJitter    = time.Second
+	minWriteJitter = 10 * time.Millisecond
 	rollbackJitter = 200 * time.Millisecond
 	// resultsBatchDelay is the pause after a read that returned reports.
 	resultsBatchDelay = 250 * time.Millisecond
