Do not promote a version whose pace seldom comes near the fastest

Cause: their paces are within twice the lowest tenth of the old version's often enough, but hardly within one and a half; in the logs the narrow sum stood at +1.4 to +4.7 for those three times slower, at -8 and less for all good ones. Change: the narrow sum must not speak against the version when it is promoted. Evidence: a row of TestDecide fails before.

--- a/internal/promoter/promoter_test.go
+++ b/internal/promoter/promoter_test.go
@@ -55,6 +55,9 @@
 		"decodes as fast as busy endpoints, but never as idle ones": {
 			promoter.View{State: promoter.Canary, Elapsed: 18 * time.Second, OldEndpoints: 12, NewEndpoints: 12, Balance: promoter.Score{TTFT: -9, TTFTFloor: -9, PaceFloor: 1}}, promoter.Canary,
 		},
+		"decodes near the fastest times, but seldom at them": {
+			promoter.View{State: promoter.Canary, Elapsed: 18 * time.Second, OldEndpoints: 12, NewEndpoints: 12, Balance: promoter.Score{TTFT: -9, TTFTFloor: -9, PaceFloor: -9, PaceNarrow: 1}}, promoter.Canary,
+		},
 		"proven never to be as fast as idle endpoints": {
 			promoter.View{State: promoter.Canary, Elapsed: 9 * time.Second, OldEndpoints: 12, NewEndpoints: 12, Balance: promoter.Score{TTFT: -9, TTFTFloor: -9, PaceNarrow: 7}}, promoter.RolledBack,
 		},
--- a/internal/promoter/speed.go
+++ b/internal/promoter/speed.go
@@ -190,11 +190,13 @@
 
 const (
 	// provenTTFT and provenPace are the sums at which the new version counts as no
-	// worse, provenFloor is that of the sums about the fastest times. Some responses have
-	// no pace, so the second needs no evidence.
-	provenTTFT  = -1
-	provenPace  = 2
-	provenFloor = -2
+	// worse, provenFloor is that of the sums about the fastest times. The sum about those
+	// that are closest must not speak against the version. Some responses have no pace,
+	// so the second needs no evidence.
+	provenTTFT   = -1
+	provenPace   = 2
+	provenFloor  = -2
+	provenNarrow = 0
 	// worseTTFT, worsePace and worseFloor are the sums at which it counts as worse. The
 	// pace depends more on what else an endpoint does.
 	worseTTFT  = 6
@@ -211,7 +213,7 @@
 // service whose responses have none proves nothing.
 func (s Score) proven() bool {
 	paceKnown := s.PaceFloor != 0
-	return s.TTFT <= provenTTFT && s.Pace <= provenPace && s.TTFTFloor <= provenFloor && (!paceKnown || s.PaceFloor <= provenFloor)
+	return s.TTFT <= provenTTFT && s.Pace <= provenPace && s.TTFTFloor <= provenFloor && (!paceKnown || s.PaceFloor <= provenFloor && s.PaceNarrow <= provenNarrow)
 }
 
 // Balance is a sum of scores in which older ones lose weight, so that a version that
