Do not compress what daemons say to each other

What callers saw: nothing. Cause: connect compresses each message, and a gzip writer takes about a megabyte. Change: probes and the relayed reads and loads are not compressed. Why it works: most messages are a few hundred bytes, and bytes within a zone are free.

--- a/internal/relayer/client.go
+++ b/internal/relayer/client.go
@@ -42,7 +42,7 @@
 	bound := connect.WithReadMaxBytes(maxMessageBytes)
 	return &readerClients{
 		ZoneReader: reader,
-		relay:      schemaconnect.NewRelayServiceClient(r.client, url, bound),
+		relay:      schemaconnect.NewRelayServiceClient(r.client, url, bound, connect.WithAcceptCompression("gzip", nil, nil)),
 		// Snapshots are compressed already.
 		snapshot: schemaconnect.NewSnapshotServiceClient(r.client, url, bound, connect.WithAcceptCompression("gzip", nil, nil)),
 	}
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -163,7 +163,7 @@
 // Handler returns the handler of requests from other daemons.
 func (r *Relayer) Handler() http.Handler {
 	mux := http.NewServeMux()
-	mux.Handle(schemaconnect.NewRelayServiceHandler(&handler{r}, connect.WithReadMaxBytes(maxMessageBytes)))
+	mux.Handle(schemaconnect.NewRelayServiceHandler(&handler{r}, connect.WithReadMaxBytes(maxMessageBytes), connect.WithCompression("gzip", nil, nil)))
 	// Snapshots are compressed already.
 	mux.Handle(schemaconnect.NewSnapshotServiceHandler(&handler{r}, connect.WithReadMaxBytes(maxMessageBytes), connect.WithCompression("gzip", nil, nil)))
 	return mux
--- a/internal/runner/peers.go
+++ b/internal/runner/peers.go
@@ -114,15 +114,16 @@
 	defer p.mu.Unlock()
 	client := p.clients[address]
 	if client == nil {
-		client = schemaconnect.NewPeerServiceClient(p.client, "http://"+address.String(), connect.WithReadMaxBytes(maxProbeBytes))
+		client = schemaconnect.NewPeerServiceClient(p.client, "http://"+address.String(), connect.WithReadMaxBytes(maxProbeBytes), connect.WithAcceptCompression("gzip", nil, nil))
 		p.clients[address] = client
 	}
 	return client
 }
 
-// handler returns the path and the handler of calls of other daemons.
+// handler returns the path and the handler of calls of other daemons. Messages are not
+// compressed: most are small, and a compressor takes a megabyte.
 func (p *peers) handler() (path string, handler http.Handler) {
-	return schemaconnect.NewPeerServiceHandler(p, connect.WithReadMaxBytes(maxProbeBytes))
+	return schemaconnect.NewPeerServiceHandler(p, connect.WithReadMaxBytes(maxProbeBytes), connect.WithCompression("gzip", nil, nil))
 }
 
 // Probe implements schemaconnect.PeerServiceHandler.
