Count crashes by moments, and spread rumours without comparing everything

Change: endpoints that crash within 100 ms count once, and a part must explain at least half of the moments with crashes since its first. Only the regular probes compare digests. Reads that do not wait have the old slack. Why it works: a request crashes endpoints one at a time, a common fault crashes many.

--- a/internal/prober/prober.go
+++ b/internal/prober/prober.go
@@ -140,6 +140,12 @@
 // response. A joining daemon asks for all that the member holds. The error is that of the
 // call, or says that the member belongs to another cluster.
 func (p *Prober) Probe(ctx context.Context, target gossiper.Member, join bool) error {
+	return p.probe(ctx, target, join, true)
+}
+
+// probe is Probe with the choice whether the member compares digests. While a rumour
+// spreads they differ almost everywhere, and to respond with everything would be much work.
+func (p *Prober) probe(ctx context.Context, target gossiper.Member, join, compare bool) error {
 	var rumours *schema.Rumours
 	err := p.Members.Do(ctx, func(state *gossiper.Membership) { rumours = state.RumoursFor(target.Name, false, time.Now()) })
 	if err != nil {
@@ -151,6 +157,7 @@
 		Sender:  p.Self,
 		Rumours: rumours,
 		Join:    join,
+		Compare: compare,
 	}))
 	if err != nil {
 		return err
@@ -196,8 +203,8 @@
 	}
 	err := p.Members.Do(ctx, func(state *gossiper.Membership) {
 		changes := p.receive(state, request.GetSender(), request.GetRumours())
-		response.Rumours = state.RumoursFor(request.GetSender().GetName(), request.GetJoin() || changes.MembersDiffer, time.Now())
-		if changes.FactsDiffer {
+		response.Rumours = state.RumoursFor(request.GetSender().GetName(), request.GetJoin() || request.GetCompare() && changes.MembersDiffer, time.Now())
+		if request.GetCompare() && changes.FactsDiffer {
 			response.Rumours.Facts = state.FactMessages(time.Now())
 		}
 	})
@@ -239,7 +246,7 @@
 		var group sync.WaitGroup
 		for _, member := range members {
 			// A member that does not respond is found by the regular probes.
-			group.Go(func() { _ = p.Probe(ctx, member, false) })
+			group.Go(func() { _ = p.probe(ctx, member, false, false) })
 		}
 		sleep(ctx, urgentInterval)
 		group.Wait()
--- a/internal/quarantiner/quarantiner.go
+++ b/internal/quarantiner/quarantiner.go
@@ -16,7 +16,8 @@
 )
 
 const (
-	// minCrashes is the number of crashed endpoints after which a part is quarantined.
+	// minCrashes is the number of moments with crashes after which a part is quarantined,
+	// if it explains at least half of the moments since the first of them.
 	minCrashes = 3
 	// minCrashesIfDoubtful applies to a part that is less likely to be the cause: requests
 	// with it were served in the servedWindow before its first crash, and must then fail
@@ -44,6 +45,8 @@
 type Quarantine struct {
 	mu       sync.Mutex
 	suspects map[uint64]*suspect
+	// crashed holds when an endpoint crashed.
+	crashed map[string]time.Time
 	// served holds when a request with a part was last served.
 	served map[uint64]time.Time
 	// quarantined is the number of quarantined parts, pending that of the parts that may
@@ -65,7 +68,7 @@
 // New returns a quarantine without parts. It calls onChange, which must not call it, with
 // each change.
 func New(onChange func(Change)) *Quarantine {
-	return &Quarantine{suspects: map[uint64]*suspect{}, served: map[uint64]time.Time{}, onChange: onChange}
+	return &Quarantine{suspects: map[uint64]*suspect{}, crashed: map[string]time.Time{}, served: map[uint64]time.Time{}, onChange: onChange}
 }
 
 // Crash says that an endpoint crashed while it had a request with a part, and had written
@@ -108,8 +111,12 @@
 			s = &suspect{id: crash.Part, place: crash.Place, crashes: map[string]time.Time{}, begun: map[string]bool{}, servedBefore: served && now.Sub(servedAt) < servedWindow}
 			q.suspects[crash.Part] = s
 		}
+		if _, known := q.crashed[crash.Endpoint]; !known {
+			q.crashed[crash.Endpoint] = crash.At
+		}
 		if _, known := s.crashes[crash.Endpoint]; !known {
-			s.crashes[crash.Endpoint] = crash.At
+			// Reports of one crash differ by a little.
+			s.crashes[crash.Endpoint] = q.crashed[crash.Endpoint]
 		}
 		if crash.Begun {
 			s.begun[crash.Endpoint] = true
@@ -125,7 +132,8 @@
 	q.releaseDominated()
 	for _, s := range q.byLikelihood() {
 		if !s.quarantined {
-			if !q.isCause(s, s.unexplained(explained), now) {
+			moments := s.unexplained(explained)
+			if !q.isCause(s, len(moments), now) || 2*len(moments) < q.momentsSince(s.firstCrash(), explained) {
 				s.causeSince = time.Time{}
 				continue
 			}
@@ -137,6 +145,18 @@
 	}
 }
 
+// momentsSince returns the number of moments from a time on with crashes that are not in the
+// set.
+func (q *Quarantine) momentsSince(first time.Time, explained map[string]bool) int {
+	moments := map[moment]bool{}
+	for endpoint, at := range q.crashed {
+		if !explained[endpoint] && momentOf(at) >= momentOf(first) {
+			moments[momentOf(at)] = true
+		}
+	}
+	return len(moments)
+}
+
 // releaseDominated ends the quarantine of parts that were taken for the cause before there
 // were reports on the part that is.
 func (q *Quarantine) releaseDominated() {
@@ -305,6 +325,11 @@
 			delete(q.served, id)
 		}
 	}
+	for endpoint, at := range q.crashed {
+		if now.Sub(at) >= Lifetime {
+			delete(q.crashed, endpoint)
+		}
+	}
 	for id, s := range q.suspects {
 		for endpoint, at := range s.crashes {
 			if now.Sub(at) >= Lifetime {
--- a/internal/quarantiner/suspect.go
+++ b/internal/quarantiner/suspect.go
@@ -51,21 +51,30 @@
 	return due
 }
 
-// unexplained returns the number of crashes that are not in the set.
-func (s *suspect) unexplained(explained map[string]bool) int {
-	count := 0
-	for endpoint := range s.crashes {
+// unexplained returns the moments of the crashes that are not in the set.
+func (s *suspect) unexplained(explained map[string]bool) map[moment]bool {
+	moments := map[moment]bool{}
+	for endpoint, at := range s.crashes {
 		if !explained[endpoint] {
-			count++
+			moments[momentOf(at)] = true
 		}
 	}
-	return count
+	return moments
 }
 
+// moment is a short time in which endpoints that crash count as one crash, since a fault of
+// many endpoints, unlike a request, crashes them at once.
+type moment int64
+
+// momentLength is the length of a moment.
+const momentLength = 100 * time.Millisecond
+
+func momentOf(at time.Time) moment { return moment(at.UnixNano() / int64(momentLength)) }
+
 // isDominated reports whether another part explains all crashes of this one, and more. An
 // earlier part of the prompt may be in more crashes because other requests share it.
 func (s *suspect) isDominated(other *suspect) bool {
-	return !other.servedBefore && other.place >= s.place && len(other.crashes) > len(s.crashes) && len(other.begun) >= len(s.begun) && s.unexplained(asSet(other.crashes)) == 0
+	return !other.servedBefore && other.place >= s.place && len(other.crashes) > len(s.crashes) && len(other.begun) >= len(s.begun) && len(s.unexplained(asSet(other.crashes))) == 0
 }
 
 func asSet(crashes map[string]time.Time) map[string]bool {
--- a/internal/subscriber/subscriber.go
+++ b/internal/subscriber/subscriber.go
@@ -148,9 +148,10 @@
 	Slack time.Duration
 }
 
-// slack returns how long a response may take beyond the requested wait.
-func (t ReadTiming) slack() time.Duration {
-	if t.Slack > 0 {
+// slack returns how long a response may take beyond the requested wait. Reads that do not
+// wait are repeated after a failure, so a shorter time would only make more of them.
+func (t ReadTiming) slack(wait time.Duration) time.Duration {
+	if t.Slack > 0 && wait > 0 {
 		return t.Slack
 	}
 	return defaultSlack
@@ -158,7 +159,7 @@
 
 // maxLag returns the largest lag of a peer that reads without failures: a read that
 // returned records counts from when it was sent, and the batch delay follows it.
-func (t ReadTiming) maxLag() time.Duration { return t.Wait + t.BatchDelay + t.slack() }
+func (t ReadTiming) maxLag() time.Duration { return t.Wait + t.BatchDelay + t.slack(t.Wait) }
 
 // New returns a subscriber of the named topic. Run calls handle with one change
 // at a time.
@@ -316,7 +317,7 @@
 // readSource makes one read of the source, backed by a second read that does not
 // wait. It returns waited as false if the page is from the second read.
 func (s *Subscriber) readSource(ctx context.Context, wait time.Duration) (page Page, waited bool, err error) {
-	ctx, cancel := context.WithTimeout(ctx, wait+s.timing.slack())
+	ctx, cancel := context.WithTimeout(ctx, wait+s.timing.slack(wait))
 	defer cancel()
 	if s.timing.ConfirmAfter <= 0 || wait <= s.timing.ConfirmAfter {
 		page, err = s.source.Read(ctx, s.nextOffset, wait)
