Remember that a part is sound, whichever report comes first

Cause: from the log, all of them were daemons that had just started, 20 s after 34 endpoints had crashed at once. They got the facts in any order, and a report that a part is sound was dropped if no crash with it was known yet. Change: the report is kept for as long as a crash counts, and voids crashes before it. Evidence: TestSoundPartOfEarlierReport fails before and passes.

--- a/internal/quarantiner/quarantiner.go
+++ b/internal/quarantiner/quarantiner.go
@@ -47,8 +47,10 @@
 	suspects map[uint64]*suspect
 	// crashed holds when an endpoint crashed.
 	crashed map[string]time.Time
-	// served holds when a request with a part was last served.
+	// served holds when a request with a part was last served, sound when the last response
+	// began that another daemon has reported. Reports come in any order.
 	served map[uint64]time.Time
+	sound  map[uint64]time.Time
 	// quarantined is the number of quarantined parts, pending that of the parts that may
 	// soon be.
 	quarantined int
@@ -68,7 +70,7 @@
 // New returns a quarantine without parts. It calls onChange, which must not call it, with
 // each change.
 func New(onChange func(Change)) *Quarantine {
-	return &Quarantine{suspects: map[uint64]*suspect{}, crashed: map[string]time.Time{}, served: map[uint64]time.Time{}, onChange: onChange}
+	return &Quarantine{suspects: map[uint64]*suspect{}, crashed: map[string]time.Time{}, served: map[uint64]time.Time{}, sound: map[uint64]time.Time{}, onChange: onChange}
 }
 
 // Crash says that an endpoint crashed while it had a request with a part, and had written
@@ -105,6 +107,9 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	for _, crash := range crashes {
+		if crash.At.Before(q.sound[crash.Part]) {
+			continue
+		}
 		s := q.suspects[crash.Part]
 		if s == nil {
 			servedAt, served := q.served[crash.Part]
@@ -254,6 +259,9 @@
 func (q *Quarantine) RecordSound(id uint64, began, now time.Time) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
+	if began.After(q.sound[id]) {
+		q.sound[id] = began
+	}
 	if s := q.suspects[id]; s != nil {
 		q.markSound(s, began, now)
 	}
@@ -320,16 +328,9 @@
 func (q *Quarantine) Sweep(now time.Time) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	for id, servedAt := range q.served {
-		if now.Sub(servedAt) >= servedWindow {
-			delete(q.served, id)
-		}
-	}
-	for endpoint, at := range q.crashed {
-		if now.Sub(at) >= Lifetime {
-			delete(q.crashed, endpoint)
-		}
-	}
+	removeExpired(q.crashed, now, Lifetime)
+	removeExpired(q.sound, now, Lifetime)
+	removeExpired(q.served, now, servedWindow)
 	for id, s := range q.suspects {
 		for endpoint, at := range s.crashes {
 			if now.Sub(at) >= Lifetime {
@@ -346,6 +347,15 @@
 	q.evaluate(now)
 }
 
+// removeExpired removes the times that are older than a lifetime.
+func removeExpired[K comparable](times map[K]time.Time, now time.Time, lifetime time.Duration) {
+	for key, at := range times {
+		if now.Sub(at) >= lifetime {
+			delete(times, key)
+		}
+	}
+}
+
 // Counts returns the numbers of suspected and of quarantined parts.
 func (q *Quarantine) Counts() (suspects, quarantined int) {
 	q.mu.Lock()
--- a/internal/quarantiner/quarantiner_test.go
+++ b/internal/quarantiner/quarantiner_test.go
@@ -119,6 +119,32 @@
 	}
 }
 
+// TestSoundPartOfEarlierReport guards against a daemon that starts and learns of crashes after
+// it has learned that the part is sound: it would refuse requests with the part of nearly all
+// prompts.
+func TestSoundPartOfEarlierReport(t *testing.T) {
+	crashes := []event{{1, "e1", []uint64{1}, false}, {1.2, "e2", []uint64{1}, false}, {1.4, "e3", []uint64{1}, false}}
+	rows := map[string]struct {
+		// began is when the response began that another daemon has reported.
+		began float64
+		want  []uint64
+	}{
+		"response after the crashes":  {1.5, nil},
+		"response before the crashes": {0.5, []uint64{1}},
+	}
+	for name, row := range rows {
+		t.Run(name, func(t *testing.T) {
+			q := quarantiner.New(func(quarantiner.Change) {})
+			q.RecordSound(1, at(row.began), at(2))
+			apply(q, crashes)
+			q.Sweep(at(3))
+			if got := blocked(q, []uint64{1}, at(3)); !slices.Equal(got, row.want) {
+				t.Errorf("blocked parts got %v, want %v", got, row.want)
+			}
+		})
+	}
+}
+
 // TestOneDaemonTriesAgain guards against a part that stays quarantined when it no longer
 // crashes endpoints, and against trials so frequent that they crash many.
 func TestOneDaemonTriesAgain(t *testing.T) {
