--- /dev/null
+++ b/review/standin/extra.go
@@ -0,0 +1,165 @@
+package main
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+func init() { cases["extra"] = extraCase }
+
+const (
+	// extraWorkers is the number of workers, of which spoilingWorkers spoil the share
+	// extraShare of their answers: within the share of 0.5 and the x of 0.02 that the pages name.
+	extraWorkers    = 4
+	spoilingWorkers = 2
+	extraShare      = 0.02
+
+	// ledgerSlots requests run at once at a worker, and ledgerQueue more wait.
+	ledgerSlots = 6
+	ledgerQueue = 24
+	ledgerWork  = 60 * time.Millisecond
+
+	// Users come at once, burstUsers for burstTime, burstCount times.
+	ledgerUsers    = 170
+	ledgerBurst    = 3 * time.Second
+	ledgerBursts   = 6
+	ledgerCalm     = 2 * time.Second
+	ledgerDeadline = 3 * time.Second
+)
+
+// ledgerServer is a worker of a plain service that writes its answers itself, so that it can send a
+// second answer. It refuses requests when it is full, as on the page that the bench prints: with
+// Not-Executed and without Attempt-Id.
+type ledgerServer struct {
+	workerSetup
+	admitted atomic.Int64
+	slots    chan struct{}
+	output   sync.Mutex
+}
+
+func (s *ledgerServer) serve(listener net.Listener) error {
+	s.slots = make(chan struct{}, ledgerSlots)
+	for {
+		connection, err := listener.Accept()
+		if err != nil {
+			return err
+		}
+		go s.serveConnection(connection)
+	}
+}
+
+// serveConnection answers one request at a time. The second answer to a request comes late: where
+// the next one is expected.
+func (s *ledgerServer) serveConnection(connection net.Conn) {
+	defer func() { _ = connection.Close() }()
+	reader := bufio.NewReader(connection)
+	late := ""
+	for {
+		request, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		if _, err := io.Copy(io.Discard, request.Body); err != nil {
+			return
+		}
+		if late != "" {
+			s.report(workerRun{Worker: s.ID, Attempt: request.Header.Get("Attempt-Id"), Note: "second answer to an earlier request is sent first"})
+			_, _ = io.WriteString(connection, late)
+			late = ""
+		}
+		answer := s.answer(request)
+		if _, err := io.WriteString(connection, answer); err != nil {
+			return
+		}
+		if fails(s.ID+"extra", request.Header.Get("Attempt-Id"), s.ExtraShare) {
+			late = answer
+		}
+	}
+}
+
+// answer runs a request or refuses it, and returns the answer.
+func (s *ledgerServer) answer(request *http.Request) string {
+	attempt := request.Header.Get("Attempt-Id")
+	if request.Header.Get("Expect-Instance") != s.ID {
+		return fmt.Sprintf("HTTP/1.1 421 Misdirected Request\r\nInstance-Id: %s\r\nContent-Length: 0\r\n\r\n", s.ID)
+	}
+	defer s.admitted.Add(-1)
+	if s.admitted.Add(1) > ledgerSlots+ledgerQueue {
+		s.report(workerRun{Worker: s.ID, Attempt: attempt, Note: "refused: full"})
+		return "HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+	}
+	s.slots <- struct{}{}
+	defer func() { <-s.slots }()
+	s.report(workerRun{Worker: s.ID, Attempt: attempt, Path: request.URL.Path})
+	time.Sleep(ledgerWork)
+	body := "done " + attempt + "\n"
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\nAttempt-Id: %s\r\nResponse-Signature: %s.%s\r\nServer-Load: %d,%d,%d\r\nContent-Length: %d\r\n\r\n%s",
+		attempt, s.ID, attempt, len(s.slots), max(0, s.admitted.Load()-ledgerSlots), ledgerSlots, len(body), body)
+}
+
+func (s *ledgerServer) report(run workerRun) {
+	s.output.Lock()
+	defer s.output.Unlock()
+	_ = json.NewEncoder(os.Stdout).Encode(run)
+}
+
+// extraCase lets bursts of users book at workers that are full at times. With trouble, some workers
+// send a second answer to some requests. No booking may run twice, and none that ran may be
+// answered with a status that says that it has not run.
+func extraCase(c *scenario) bool {
+	publish(c.log, 1, route("book", "/book/", "non_idempotent", "turn-ledger", 3, ledgerDeadline))
+	for i := range extraWorkers {
+		setup := workerSetup{ID: fmt.Sprintf("i-%d", i), Service: "turn-ledger", Plain: true}
+		if c.trouble && i < spoilingWorkers {
+			setup.ExtraShare = extraShare
+		}
+		newWorker(c, setup)
+	}
+	d := c.startDaemon(1)
+	time.Sleep(1500 * time.Millisecond)
+	var mu sync.Mutex
+	statuses := map[string]int{}
+	for burst := range ledgerBursts {
+		var group sync.WaitGroup
+		began := time.Now()
+		for user := range ledgerUsers {
+			group.Go(func() {
+				for i := 0; time.Since(began) < ledgerBurst; i++ {
+					attempt := fmt.Sprintf("b%d-%d-%d", burst, user, i)
+					got := send(d.client, request{path: "/book/1", attempt: attempt, deadline: ledgerDeadline, body: []byte("{}")})
+					c.note("client got %s: %s", attempt, got)
+					mu.Lock()
+					statuses[attempt] = got.status
+					mu.Unlock()
+					if got.status != http.StatusOK {
+						time.Sleep(300 * time.Millisecond)
+					}
+				}
+			})
+		}
+		group.Wait()
+		time.Sleep(ledgerCalm)
+	}
+	twice, refused := 0, 0
+	for attempt, status := range statuses {
+		runs := c.runsOf(attempt)
+		if len(runs) > 1 {
+			twice++
+			c.note("BROKEN, TWICE: %s ran %d times: %v", attempt, len(runs), runs)
+		}
+		if len(runs) > 0 && (status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests) {
+			refused++
+			c.note("BROKEN, REFUSED: %s was answered %d and ran: %v", attempt, status, runs)
+		}
+	}
+	c.note("bookings: %d, run twice: %d, refused though run: %d", len(statuses), twice, refused)
+	return twice+refused > 0
+}
