--- a/review/standin/extra.go
+++ b/review/standin/extra.go
@@ -57,7 +57,7 @@
 }
 
 // serveConnection answers one request at a time. The second answer to a request comes late: where
-// the next one is expected.
+// the answer to the next one is expected, when that one has begun to run.
 func (s *ledgerServer) serveConnection(connection net.Conn) {
 	defer func() { _ = connection.Close() }()
 	reader := bufio.NewReader(connection)
@@ -70,23 +70,37 @@
 		if _, err := io.Copy(io.Discard, request.Body); err != nil {
 			return
 		}
-		if late != "" {
-			s.report(workerRun{Worker: s.ID, Attempt: request.Header.Get("Attempt-Id"), Note: "second answer to an earlier request is sent first"})
-			_, _ = io.WriteString(connection, late)
-			late = ""
+		closed, watched := make(chan struct{}), make(chan struct{})
+		go func() {
+			defer close(watched)
+			if _, err := reader.Peek(1); err != nil {
+				close(closed)
+			}
+		}()
+		attempt := request.Header.Get("Attempt-Id")
+		answer := s.answer(request, closed, func() {
+			if late != "" {
+				s.report(workerRun{Worker: s.ID, Attempt: attempt, Note: "the second answer to an earlier request is sent"})
+				_, _ = io.WriteString(connection, late)
+				late = ""
+			}
+		})
+		if answer == "" {
+			return
 		}
-		answer := s.answer(request)
 		if _, err := io.WriteString(connection, answer); err != nil {
 			return
 		}
-		if fails(s.ID+"extra", request.Header.Get("Attempt-Id"), s.ExtraShare) {
+		if late == "" && fails(s.ID+"extra", attempt, s.ExtraShare) {
 			late = answer
 		}
+		<-watched
 	}
 }
 
-// answer runs a request or refuses it, and returns the answer.
-func (s *ledgerServer) answer(request *http.Request) string {
+// answer runs a request or refuses it, and returns the answer. It calls begun when it has begun to
+// run the request. If the channel closes before that, it drops the request and returns no answer.
+func (s *ledgerServer) answer(request *http.Request, closed <-chan struct{}, begun func()) string {
 	attempt := request.Header.Get("Attempt-Id")
 	if request.Header.Get("Expect-Instance") != s.ID {
 		return fmt.Sprintf("HTTP/1.1 421 Misdirected Request\r\nInstance-Id: %s\r\nContent-Length: 0\r\n\r\n", s.ID)
@@ -96,9 +110,14 @@
 		s.report(workerRun{Worker: s.ID, Attempt: attempt, Note: "refused: full"})
 		return "HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n"
 	}
-	s.slots <- struct{}{}
+	select {
+	case s.slots <- struct{}{}:
+	case <-closed:
+		return ""
+	}
 	defer func() { <-s.slots }()
 	s.report(workerRun{Worker: s.ID, Attempt: attempt, Path: request.URL.Path})
+	begun()
 	time.Sleep(ledgerWork)
 	body := "done " + attempt + "\n"
 	return fmt.Sprintf("HTTP/1.1 200 OK\r\nAttempt-Id: %s\r\nResponse-Signature: %s.%s\r\nServer-Load: %d,%d,%d\r\nContent-Length: %d\r\n\r\n%s",
