--- a/review/standin/extra.go
+++ b/review/standin/extra.go
@@ -18,8 +18,8 @@
 const (
 	// extraWorkers is the number of workers, of which spoilingWorkers spoil the share
 	// extraShare of their answers: within the share of 0.5 and the x of 0.02 that the pages name.
-	extraWorkers    = 4
-	spoilingWorkers = 2
+	extraWorkers    = 3
+	spoilingWorkers = 1
 	extraShare      = 0.02
 
 	// ledgerSlots requests run at once at a worker, and ledgerQueue more wait.
@@ -27,12 +27,13 @@
 	ledgerQueue = 24
 	ledgerWork  = 60 * time.Millisecond
 
-	// Users come at once, burstUsers for burstTime, burstCount times.
+	// ledgerUsers come at once, for ledgerBurst, ledgerBursts times. They are 1.7 times the clients
+	// of the sheet.
 	ledgerUsers    = 170
 	ledgerBurst    = 3 * time.Second
 	ledgerBursts   = 6
 	ledgerCalm     = 2 * time.Second
-	ledgerDeadline = 3 * time.Second
+	ledgerDeadline = 1500 * time.Millisecond
 )
 
 // ledgerServer is a worker of a plain service that writes its answers itself, so that it can send a
