--- a/review/standin/memory.go
+++ b/review/standin/memory.go
@@ -17,7 +17,7 @@
 	// linkBytes is what a machine's link carries in a second.
 	linkBytes = 125e6
 	// bodyBytes is the size of a body, within the limit of the manifest, maxBodyBytes.
-	bodyBytes = 3800000
+	bodyBytes = 4000000
 
 	// burstPercent is how many users come in a burst, burstTime how long it lasts, burstCount the
 	// number of bursts and calmTime the time between two.
