--- a/review/standin/daemon.go
+++ b/review/standin/daemon.go
@@ -88,9 +88,7 @@
 	d.command.Dir = c.root
 	d.command.Env = []string{"QUETZALGRADE_BOOT=" + d.settings, "PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME")}
 	d.command.Stdout, d.command.Stderr = output, output
-	if err := d.command.Start(); err != nil {
-		panic(cannotRun{err})
-	}
+	c.startProcess(d.command)
 	_ = output.Close()
 	command := d.command
 	d.done = make(chan struct{})
--- a/review/standin/extra.go
+++ b/review/standin/extra.go
@@ -16,29 +16,27 @@
 func init() { cases["extra"] = extraCase }
 
 const (
-	// extraWorkers is the number of workers, of which spoilingWorkers spoil the share
-	// extraShare of their answers: within the share of 0.5 and the x of 0.02 that the pages name.
-	extraWorkers    = 3
-	spoilingWorkers = 1
-	extraShare      = 0.02
+	// extraWorkers is the number of workers. One of them, a seventh, refuses shedShare of its
+	// requests and sends a second answer to extraShare of them: within the shares of 0.15 and 0.5
+	// and the x of 0.4 and 0.03 that the pages name.
+	extraWorkers = 7
+	shedShare    = 0.4
+	extraShare   = 0.03
 
 	// ledgerSlots requests run at once at a worker, and ledgerQueue more wait.
 	ledgerSlots = 6
 	ledgerQueue = 24
 	ledgerWork  = 60 * time.Millisecond
 
-	// ledgerUsers come at once, for ledgerBurst, ledgerBursts times. They are 1.7 times the clients
-	// of the sheet.
-	ledgerUsers    = 170
-	ledgerBurst    = 3 * time.Second
-	ledgerBursts   = 6
-	ledgerCalm     = 2 * time.Second
+	// ledgerRate is the number of bookings a second: the 35.8 of the sheet in a burst of 1.7.
+	ledgerRate     = 60
+	ledgerTime     = 80 * time.Second
 	ledgerDeadline = 1500 * time.Millisecond
 )
 
 // ledgerServer is a worker of a plain service that writes its answers itself, so that it can send a
-// second answer. It refuses requests when it is full, as on the page that the bench prints: with
-// Not-Executed and without Attempt-Id.
+// second answer. It refuses requests, when it is full or as a part of its trouble, as on the page that
+// the bench prints: with Not-Executed and without Attempt-Id.
 type ledgerServer struct {
 	workerSetup
 	admitted atomic.Int64
@@ -107,8 +105,8 @@
 		return fmt.Sprintf("HTTP/1.1 421 Misdirected Request\r\nInstance-Id: %s\r\nContent-Length: 0\r\n\r\n", s.ID)
 	}
 	defer s.admitted.Add(-1)
-	if s.admitted.Add(1) > ledgerSlots+ledgerQueue {
-		s.report(workerRun{Worker: s.ID, Attempt: attempt, Note: "refused: full"})
+	if s.admitted.Add(1) > ledgerSlots+ledgerQueue || fails(s.ID+"shed", attempt, s.FailShare) {
+		s.report(workerRun{Worker: s.ID, Attempt: attempt, Note: "refused"})
 		return "HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n"
 	}
 	select {
@@ -131,43 +129,36 @@
 	_ = json.NewEncoder(os.Stdout).Encode(run)
 }
 
-// extraCase lets bursts of users book at workers that are full at times. With trouble, some workers
-// send a second answer to some requests. No booking may run twice, and none that ran may be
-// answered with a status that says that it has not run.
+// extraCase sends bookings at a constant rate. With trouble, one worker refuses a part of its requests
+// and sends a second answer to some. No booking may run twice, and none that ran may be answered with a
+// status that says that it has not run.
 func extraCase(c *scenario) bool {
 	publish(c.log, 1, route("book", "/book/", "non_idempotent", "turn-ledger", 3, ledgerDeadline))
 	for i := range extraWorkers {
 		setup := workerSetup{ID: fmt.Sprintf("i-%d", i), Service: "turn-ledger", Plain: true}
-		if c.trouble && i < spoilingWorkers {
-			setup.ExtraShare = extraShare
+		if c.trouble && i == 0 {
+			setup.FailShare, setup.ExtraShare = shedShare, extraShare
 		}
 		newWorker(c, setup)
 	}
-	d := c.startDaemon(1)
+	d := newDaemon(c, 1)
 	time.Sleep(1500 * time.Millisecond)
+	var group sync.WaitGroup
 	var mu sync.Mutex
 	statuses := map[string]int{}
-	for burst := range ledgerBursts {
-		var group sync.WaitGroup
-		began := time.Now()
-		for user := range ledgerUsers {
-			group.Go(func() {
-				for i := 0; time.Since(began) < ledgerBurst; i++ {
-					attempt := fmt.Sprintf("b%d-%d-%d", burst, user, i)
-					got := send(d.client, request{path: "/book/1", attempt: attempt, deadline: ledgerDeadline, body: []byte("{}")})
-					c.note("client got %s: %s", attempt, got)
-					mu.Lock()
-					statuses[attempt] = got.status
-					mu.Unlock()
-					if got.status != http.StatusOK {
-						time.Sleep(300 * time.Millisecond)
-					}
-				}
-			})
-		}
-		group.Wait()
-		time.Sleep(ledgerCalm)
+	began := time.Now()
+	for i := 0; time.Since(began) < ledgerTime; i++ {
+		group.Go(func() {
+			attempt := fmt.Sprintf("b%d", i)
+			got := send(d.client, request{path: "/book/1", attempt: attempt, deadline: ledgerDeadline, body: []byte("{}")})
+			c.note("client got %s: %s", attempt, got)
+			mu.Lock()
+			defer mu.Unlock()
+			statuses[attempt] = got.status
+		})
+		time.Sleep(time.Second / ledgerRate)
 	}
+	group.Wait()
 	twice, refused := 0, 0
 	for attempt, status := range statuses {
 		runs := c.runsOf(attempt)
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -4,8 +4,10 @@
 package main
 
 import (
+	"errors"
 	"fmt"
 	"os"
+	"os/exec"
 	"os/signal"
 	"path/filepath"
 	"slices"
@@ -33,7 +35,11 @@
 	began      time.Time
 	log        *platformLog
 	workers    []*worker
-	daemons    []*daemon
+
+	// processes guards started, the processes of the case, and closing.
+	processes sync.Mutex
+	started   []*exec.Cmd
+	closing   bool
 
 	// failed is set once a part of the case could not run.
 	failed atomic.Bool
@@ -42,12 +48,12 @@
 	runs map[string][]workerRun
 }
 
-// guard runs a part of the case in a goroutine of its own.
+// guard runs a part of the case in a goroutine of its own. A panic means that the case cannot run.
 func (c *scenario) guard(run func()) {
 	defer func() {
-		if problem, ok := recover().(cannotRun); ok {
+		if problem := recover(); problem != nil {
 			c.failed.Store(true)
-			c.note("a part of the case cannot run: %v", problem.error)
+			c.note("a part of the case cannot run: %v", problem)
 		}
 	}()
 	run()
@@ -80,32 +86,44 @@
 	return slices.Clone(c.runs[attempt])
 }
 
-func (c *scenario) startDaemon(number int) *daemon {
-	d := newDaemon(c, number)
-	c.daemons = append(c.daemons, d)
-	return d
+// startProcess starts a process unless the case is being closed.
+func (c *scenario) startProcess(command *exec.Cmd) {
+	c.processes.Lock()
+	defer c.processes.Unlock()
+	if c.closing {
+		panic(cannotRun{errors.New("the case is being closed")})
+	}
+	if err := command.Start(); err != nil {
+		panic(cannotRun{err})
+	}
+	c.started = append(c.started, command)
 }
 
 // close ends all processes that the case has started.
 func (c *scenario) close() {
-	for _, d := range c.daemons {
-		d.kill()
-	}
-	for _, w := range c.workers {
-		w.kill()
-	}
-	_ = c.record.Close()
-	if os.Getenv("KEEP") == "" {
-		_ = os.RemoveAll(c.temp)
+	c.processes.Lock()
+	c.closing = true
+	for _, command := range c.started {
+		// A process that has ended and was waited for is not signalled.
+		_ = command.Process.Kill()
 	}
+	c.processes.Unlock()
+	_ = os.RemoveAll(c.temp)
 }
 
-// closeOnSignal ends the case and its processes when it is interrupted.
-func (c *scenario) closeOnSignal() {
+// timeLimit is the time after which a case that has not ended is closed.
+const timeLimit = 110 * time.Second
+
+// closeEarly ends the case and its processes when it is interrupted or takes too long.
+func (c *scenario) closeEarly() {
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, syscall.SIGINT, syscall.SIGTERM)
 	go func() {
-		<-signals
+		select {
+		case <-signals:
+		case <-time.After(timeLimit):
+		}
+		c.note("the case is closed early")
 		c.close()
 		os.Exit(exitCannotRun)
 	}()
@@ -139,10 +157,10 @@
 	}
 	c := &scenario{root: root, temp: temp, trouble: os.Getenv("TROUBLE") != "0", record: record, began: time.Now(), log: startLog(), runs: map[string][]workerRun{}}
 	defer c.close()
-	c.closeOnSignal()
+	c.closeEarly()
 	defer func() {
-		if problem, ok := recover().(cannotRun); ok {
-			c.note("the case cannot run: %v", problem.error)
+		if problem := recover(); problem != nil {
+			c.note("the case cannot run: %v", problem)
 			status = exitCannotRun
 		}
 	}()
--- a/review/standin/memory.go
+++ b/review/standin/memory.go
@@ -49,7 +49,7 @@
 	var stopping atomic.Bool
 	var watchers sync.WaitGroup
 	for i := range ends {
-		d := c.startDaemon(i + 1)
+		d := newDaemon(c, i+1)
 		ingress.add(d)
 		watchers.Go(func() { c.guard(func() { c.watchMemory(d, &ends[i], &stopping) }) })
 	}
--- a/review/standin/refused.go
+++ b/review/standin/refused.go
@@ -28,7 +28,7 @@
 		}
 		newWorker(c, setup)
 	}
-	d := c.startDaemon(1)
+	d := newDaemon(c, 1)
 	time.Sleep(1500 * time.Millisecond)
 	var group sync.WaitGroup
 	var mu sync.Mutex
--- a/review/standin/resume.go
+++ b/review/standin/resume.go
@@ -56,7 +56,7 @@
 		newWorker(c, setup)
 	}
 	setup.FailShare = 0
-	d := c.startDaemon(1)
+	d := newDaemon(c, 1)
 	time.Sleep(roundPause)
 	broken, whole := 0, 0
 	for round := range resumeRounds {
--- a/review/standin/worker.go
+++ b/review/standin/worker.go
@@ -149,9 +149,7 @@
 	if err != nil {
 		panic(cannotRun{err})
 	}
-	if err := w.command.Start(); err != nil {
-		panic(cannotRun{err})
-	}
+	c.startProcess(w.command)
 	go func() {
 		for lines := bufio.NewScanner(output); lines.Scan(); {
 			var run workerRun
