Do not write other responses into a stream that has begun

Cause: the daemon resumed a stream at an endpoint that failed with 404, and passed every status under 500 on as a whole response, although the response to the client had begun. Change: once it has begun, only a stream with status 200 continues it. Any other response ends the attempt as failed: the request goes on elsewhere or the connection is aborted. Why it works: nothing that is no stream gets past this point, whatever its status or length.

--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -223,6 +223,9 @@
 	if response.Status == http.StatusOK && c.route.Kind == matcher.Stream {
 		return c.forwardStream(ctx, choice, response, info)
 	}
+	if c.responseStarted {
+		return c.handleNoContinuation(ctx, choice, response)
+	}
 	return c.forwardWhole(ctx, choice, response, info)
 }
 
--- a/internal/forwarder/stream.go
+++ b/internal/forwarder/stream.go
@@ -159,6 +159,15 @@
 	return statusFailed, nil, classifier.Wrap(classifier.EndpointFailed, err, "the stream of endpoint %s is truncated, aborted or corrupt", choice.ID)
 }
 
+// handleNoContinuation handles a response that is not the rest of a stream whose first
+// events have been forwarded. None of it may be forwarded, whatever its status: the client
+// would take it for a part of the stream, and the stream for complete.
+func (c *call) handleNoContinuation(ctx context.Context, choice *tracker.Choice, response *exchanger.Response) (attemptStatus, *bufferedResponse, *classifier.Error) {
+	c.endIncomplete(ctx, choice)
+	c.log("endpoint did not resume the stream", c.endpointFields(choice, "status", response.Status, "after", c.lastEventID)...)
+	return statusFailed, nil, classifier.New(classifier.EndpointFailed, "endpoint %s responded with status %d in place of the rest of the stream", choice.ID, response.Status)
+}
+
 // decodePace returns the time per event after the first, or 0 if it is unknown.
 func decodePace(elapsed time.Duration, count int) time.Duration {
 	if count < 2 {
