--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -188,11 +188,13 @@
 	c.tried = append(c.tried, choice.ID)
 	sentAt := time.Now()
 	attempt := Attempt{
-		Remaining:   c.remaining(),
-		Endpoint:    choice.ID,
-		Model:       c.model(),
-		Priority:    c.enginePriority(),
-		LastEventID: c.lastEventID,
+		Remaining: c.remaining(),
+		Endpoint:  choice.ID,
+		Model:     c.model(),
+		Priority:  c.enginePriority(),
+	}
+	if c.responseStarted {
+		attempt.LastEventID = c.lastEventID
 	}
 	if c.account != nil {
 		attempt.Account = c.account.Name
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -48,8 +48,8 @@
 	PromptTokens int
 	OutputTokens int
 	// LastEventID is the id of the last event that the client has received of a
-	// stream that it resumes.
-	LastEventID int64
+	// stream that it resumes, or empty if it resumes none.
+	LastEventID EventID
 	// AnyModel is set if the client leaves the choice of the model to the router.
 	AnyModel bool
 }
@@ -69,9 +69,9 @@
 	// Priority is the request's priority at the endpoint, or negative for none. A
 	// lower value is served first.
 	Priority int
-	// LastEventID is the id of the last event that was received of a stream that is
-	// resumed.
-	LastEventID int64
+	// LastEventID is the id of the last event that was forwarded of a stream that the
+	// router resumes, or empty if it resumes none.
+	LastEventID EventID
 }
 
 // ResponseInfo holds what the headers of a response say.
@@ -297,8 +297,9 @@
 	mayCrash bool
 	// responseStarted is set if part of the response has been forwarded.
 	responseStarted bool
-	// lastEventID is the id of the last event that was forwarded.
-	lastEventID int64
+	// lastEventID is the id of the last event that the client has, or empty if there is
+	// no such event or it has no id with which the stream could be resumed.
+	lastEventID EventID
 }
 
 // ServeHTTP implements http.Handler.
--- a/internal/forwarder/size.go
+++ b/internal/forwarder/size.go
@@ -33,10 +33,14 @@
 	return costs
 }
 
+// hasBegun reports whether the client has events of the stream, from this request or from
+// an earlier one that it resumes.
+func (c *call) hasBegun() bool { return c.responseStarted || c.LastEventID != "" }
+
 // adaptSize chooses the size to begin with at the endpoint, as long as the request has run on
-// none and no event has been forwarded.
+// none and the client has no event.
 func (c *call) adaptSize(choice *tracker.Choice) {
-	if len(c.steps) == 0 && c.lastEventID == 0 {
+	if len(c.steps) == 0 && !c.hasBegun() {
 		c.size = sizer.FirstSize(c.costs(), choice.Limited)
 	}
 }
@@ -46,7 +50,7 @@
 // budget.
 func (c *call) escalate(choice *tracker.Choice, info ResponseInfo) bool {
 	costs := c.costs()
-	if c.responseStarted || c.lastEventID > 0 || costs == nil || info.Confidence < 0 {
+	if c.hasBegun() || costs == nil || info.Confidence < 0 {
 		return false
 	}
 	c.steps = append(c.steps, sizer.Step{Size: c.size, Confidence: info.Confidence})
