Do not take a response without an id for that of a later request

Cause: an endpoint's second copy of an earlier refusal, which has no id, came where the response to the next booking on the connection was expected, and was taken for its refusal. Change: a response without an id proves something only if it is the first one on a connection that has carried one request. Otherwise it is not forwarded and the request may have run. The connection is closed after it, and endpoints that send such responses get bookings on new connections (docs/design/REFUSALS.md). The log says whether a refusal has the id. Why it works: whatever arrives, no refusal is believed that another request may have caused.

--- a/internal/exchanger/exchanger.go
+++ b/internal/exchanger/exchanger.go
@@ -8,6 +8,7 @@
 	"bufio"
 	"context"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"net/netip"
@@ -55,8 +56,25 @@
 	Host   string
 	Header http.Header
 	Body   []byte
+	// Once is set if the request must not run twice. It is then sent on a new connection
+	// to an endpoint that sends responses without an id.
+	Once bool
 }
 
+// Match is what a response says of the request that it belongs to.
+type Match int
+
+// Values of Match.
+const (
+	// Own is a response to the request in progress.
+	Own Match = iota
+	// Foreign is a response to another request.
+	Foreign
+	// Anonymous is a response that does not say. It belongs to the request in progress
+	// if that is the first one on its connection.
+	Anonymous
+)
+
 // Stage is how far a failed request got.
 type Stage int
 
@@ -91,20 +109,23 @@
 // for concurrent use.
 type Exchanger struct {
 	network connector.Network
-	// matches reports whether a response belongs to the request with the given
-	// header.
-	matches func(status int, response, request http.Header) bool
-
-	mu      sync.Mutex
-	idle    map[netip.AddrPort][]*conn
-	opened  uint64
-	skipped uint64
+	match   Matcher
+
+	mu   sync.Mutex
+	idle map[netip.AddrPort][]*conn
+	// anonymous holds the addresses that have sent responses without an id, with the
+	// time of the last one.
+	anonymous map[netip.AddrPort]time.Time
+	opened    uint64
+	skipped   uint64
 }
 
-// New returns an exchanger that opens connections through the network. matches
-// reports whether a response belongs to the request with the given header.
-func New(network connector.Network, matches func(status int, response, request http.Header) bool) *Exchanger {
-	return &Exchanger{network: network, matches: matches, idle: map[netip.AddrPort][]*conn{}}
+// Matcher says whether a response belongs to the request with the given header.
+type Matcher func(status int, response, request http.Header) Match
+
+// New returns an exchanger that opens connections through the network.
+func New(network connector.Network, match Matcher) *Exchanger {
+	return &Exchanger{network: network, match: match, idle: map[netip.AddrPort][]*conn{}, anonymous: map[netip.AddrPort]time.Time{}}
 }
 
 // conn is a connection to an endpoint.
@@ -113,6 +134,9 @@
 	limiter      *headLimiter
 	reader       *bufio.Reader
 	idleDeadline time.Time
+	// shared is set once the connection has carried a response to another request than
+	// the one in progress, or an earlier request, whose response may come again.
+	shared bool
 }
 
 func newConn(netConn net.Conn) *conn {
@@ -126,6 +150,11 @@
 type Response struct {
 	Status int
 	Header http.Header
+	// Anonymous is set if the response does not say which request it belongs to, and
+	// Ambiguous if it may also belong to another one on the same connection. An ambiguous
+	// response proves nothing about the request.
+	Anonymous bool
+	Ambiguous bool
 
 	exchanger    *Exchanger
 	address      netip.AddrPort
@@ -143,7 +172,7 @@
 // Do sends a request and returns the head of its response. When ctx ends, the
 // connection is closed, which tells the endpoint to stop.
 func (e *Exchanger) Do(ctx context.Context, address netip.AddrPort, request *Request) (*Response, *Failure) {
-	connection, err := e.connect(ctx, address)
+	connection, err := e.connect(ctx, address, request.Once)
 	if err != nil {
 		return nil, &Failure{Stage: Unsent, Err: err}
 	}
@@ -152,13 +181,18 @@
 	if err != nil {
 		return nil, abort(ctx, connection, stopWatch, err)
 	}
-	response, err := e.readHead(connection, request) //nolint:bodyclose // Response.Close ends the exchange
+	response, match, err := e.readHead(connection, request) //nolint:bodyclose // Response.Close ends the exchange
 	if err != nil {
 		return nil, abort(ctx, connection, stopWatch, err)
 	}
+	if match == Anonymous {
+		e.recordAnonymous(address)
+	}
 	return &Response{
 		Status:       response.StatusCode,
 		Header:       response.Header,
+		Anonymous:    match == Anonymous,
+		Ambiguous:    match == Anonymous && connection.shared,
 		exchanger:    e,
 		address:      address,
 		conn:         connection,
@@ -194,8 +228,12 @@
 	return errors.Is(err, syscall.ECONNREFUSED)
 }
 
-// connect returns an idle connection that is still open, or a new one.
-func (e *Exchanger) connect(ctx context.Context, address netip.AddrPort) (*conn, error) {
+// connect returns an idle connection that is still open, or a new one. For a request that
+// must not run twice, it returns a new one if a response at the address may have no id.
+func (e *Exchanger) connect(ctx context.Context, address netip.AddrPort, once bool) (*conn, error) {
+	if once && e.isAnonymous(address) {
+		return e.dial(ctx, address)
+	}
 	for {
 		connection := e.takeIdle(address)
 		if connection == nil {
@@ -208,6 +246,21 @@
 	}
 }
 
+// recordAnonymous records that the address has sent a response without an id.
+func (e *Exchanger) recordAnonymous(address netip.AddrPort) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.anonymous[address] = time.Now()
+}
+
+// isAnonymous reports whether the address has sent a response without an id.
+func (e *Exchanger) isAnonymous(address netip.AddrPort) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	_, found := e.anonymous[address]
+	return found
+}
+
 func (e *Exchanger) takeIdle(address netip.AddrPort) *conn {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -267,34 +320,43 @@
 	_, _ = writer.WriteString("\r\n")
 }
 
-// readHead returns the response to the request. It skips interim responses and
-// responses to other requests that arrive first.
-func (e *Exchanger) readHead(connection *conn, request *Request) (*http.Response, error) {
+// readHead returns the response to the request, or one that does not say which request it
+// belongs to. It skips interim responses and responses to other requests that arrive first.
+func (e *Exchanger) readHead(connection *conn, request *Request) (*http.Response, Match, error) {
 	httpRequest := &http.Request{Method: request.Method}
 	for range maxResponses {
 		connection.limiter.begin()
 		response, err := http.ReadResponse(connection.reader, httpRequest)
 		connection.limiter.end()
 		if err != nil {
-			return nil, errors.Wrap(err, "read response")
+			return nil, Foreign, errors.Wrap(err, "read response")
 		}
 		if response.StatusCode < http.StatusOK {
 			continue
 		}
-		if e.matches(response.StatusCode, response.Header, request.Header) {
-			return response, nil
+		if match := e.match(response.StatusCode, response.Header, request.Header); match != Foreign {
+			return response, match, nil
 		}
-		e.mu.Lock()
-		e.skipped++
-		e.mu.Unlock()
-		if closeDelimited(response) {
-			return nil, errors.New("response to another request ends only with the connection")
-		}
-		if _, err := io.CopyN(io.Discard, response.Body, maxSkippedBytes); !errors.Is(err, io.EOF) {
-			return nil, errors.New("response to another request exceeds the size limit or is truncated")
+		connection.shared = true
+		if err := e.skip(response); err != nil {
+			return nil, Foreign, err
 		}
 	}
-	return nil, errors.New("no response to the request among those received")
+	return nil, Foreign, errors.New("no response to the request among those received")
+}
+
+// skip reads the body of a response to another request.
+func (e *Exchanger) skip(response *http.Response) error {
+	e.mu.Lock()
+	e.skipped++
+	e.mu.Unlock()
+	if closeDelimited(response) {
+		return errors.New("response to another request ends only with the connection")
+	}
+	if _, err := io.CopyN(io.Discard, response.Body, maxSkippedBytes); !errors.Is(err, io.EOF) {
+		return errors.New("response to another request exceeds the size limit or is truncated")
+	}
+	return nil
 }
 
 // closeDelimited reports whether the body ends with the connection.
@@ -320,18 +382,20 @@
 // any other body cannot be told from a broken connection.
 func (r *Response) SelfDelimited() bool { return !closeDelimited(r.httpResponse) }
 
-// Close ends the exchange. The connection is closed if the body was not read to
-// its end.
+// Close ends the exchange. The connection is closed if the body was not read to its end, or
+// if the response has no id: a second copy of it could not be told from the response to the
+// next request.
 func (r *Response) Close() {
 	if r.closed {
 		return
 	}
 	r.closed = true
 	active := r.stopWatch()
-	if !active || !r.complete || closeDelimited(r.httpResponse) || r.httpResponse.Close || r.conn.reader.Buffered() > 0 || !r.requestWritten() {
+	if !active || !r.complete || r.Anonymous || closeDelimited(r.httpResponse) || r.httpResponse.Close || r.conn.reader.Buffered() > 0 || !r.requestWritten() {
 		_ = r.conn.Close()
 		return
 	}
+	r.conn.shared = true
 	r.conn.idleDeadline = time.Now().Add(idleTimeout(r.Header))
 	r.exchanger.putIdle(r.address, r.conn)
 }
@@ -372,11 +436,16 @@
 	return defaultIdleTimeout
 }
 
+// anonymousTTL is how long an address is known to send responses without an id. Another
+// endpoint may have it after that.
+const anonymousTTL = 10 * time.Minute
+
 // Sweep closes connections that have been idle for too long.
 func (e *Exchanger) Sweep() {
 	now := time.Now()
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	maps.DeleteFunc(e.anonymous, func(_ netip.AddrPort, last time.Time) bool { return now.Sub(last) > anonymousTTL })
 	for address, list := range e.idle {
 		kept := list[:0]
 		for _, connection := range list {
--- a/internal/exchanger/exchanger_test.go
+++ b/internal/exchanger/exchanger_test.go
@@ -48,7 +48,7 @@
 	return string(body), err
 }
 
-func anyResponse(int, http.Header, http.Header) bool { return true }
+func anyResponse(int, http.Header, http.Header) exchanger.Match { return exchanger.Own }
 
 func do(t *testing.T, e *exchanger.Exchanger, address netip.AddrPort, body string) (string, *exchanger.Failure) {
 	t.Helper()
--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -205,12 +205,16 @@
 		Host:   c.http.Host,
 		Header: c.Codec.EndpointHeader(c.http.Header, attempt),
 		Body:   c.body,
+		Once:   !c.route.Retryable(),
 	})
 	if failure != nil {
 		return c.handleNoResponse(ctx, choice, failure)
 	}
 	defer response.Close()
 	info := c.Codec.ParseResponse(response.Status, response.Header)
+	if response.Ambiguous {
+		return c.handleAmbiguous(choice, response, info)
+	}
 	if info.HasLoad {
 		choice.ReportLoad(info.Running, info.Waiting)
 	}
@@ -272,6 +276,21 @@
 	return status, nil, classifier.Wrap(kind, failure, "no response from endpoint %s", choice.ID)
 }
 
+// handleAmbiguous handles a response that may belong to an earlier request on its
+// connection. The endpoint may have run this one, and the response is not forwarded. A refusal
+// says nothing against the endpoint.
+func (c *call) handleAmbiguous(choice *tracker.Choice, response *exchanger.Response, info ResponseInfo) (attemptStatus, *bufferedResponse, *classifier.Error) {
+	c.attemptsReached++
+	c.possibleRuns++
+	outcome := tracker.Failure
+	if info.Refused {
+		outcome = tracker.Neutral
+	}
+	choice.End(outcome, 0)
+	c.log("response may belong to another request", c.endpointFields(choice, "status", response.Status, "refused", info.Refused)...)
+	return statusFailed, nil, classifier.New(classifier.EndpointFailed, "endpoint %s sent a response that may belong to another request", choice.ID)
+}
+
 // handleRefusal handles a response that says that the endpoint did not run the
 // request.
 func (c *call) handleRefusal(choice *tracker.Choice, response *exchanger.Response, info ResponseInfo) (attemptStatus, *bufferedResponse, *classifier.Error) {
@@ -280,7 +299,7 @@
 	if info.Misdirected {
 		choice.ReportMisdirected()
 	}
-	c.log("endpoint refused the request", c.endpointFields(choice, "status", response.Status, "running", info.Running, "waiting", info.Waiting)...)
+	c.log("endpoint refused the request", c.endpointFields(choice, "status", response.Status, "anonymous", response.Anonymous, "running", info.Running, "waiting", info.Waiting)...)
 	return statusNotExecuted, nil, classifier.New(classifier.EndpointRefused, "endpoint %s refused the request with status %d", choice.ID, response.Status).WithRetryAfter(notReadyRetryAfter)
 }
 
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -156,8 +156,8 @@
 	random := rand.New(rand.NewPCG(uint64(time.Now().UnixNano()), uint64(deps.Clock())))
 	r.tracker = tracker.New(settings.Zone, random, time.Now, r.logger)
 	codec := deps.Translator
-	r.exchanger = exchanger.New(deps.Network, func(status int, response, request http.Header) bool {
-		return responseMatches(codec.ParseResponse(status, response), status, codec.ParseResponse(0, request).RequestID)
+	r.exchanger = exchanger.New(deps.Network, func(status int, response, request http.Header) exchanger.Match {
+		return matchResponse(codec.ParseResponse(status, response), status, codec.ParseResponse(0, request).RequestID)
 	})
 	r.rollouts = newRolloutManager(r)
 	r.forwarder = forwarder.New(forwarder.Dependencies{
@@ -209,13 +209,17 @@
 	retryBurst = 16
 )
 
-// responseMatches reports whether a response belongs to the request. Only a
-// response that is not successful may lack an id.
-func responseMatches(info forwarder.ResponseInfo, status int, requestID string) bool {
-	if info.RequestID == "" {
-		return status >= http.StatusMultipleChoices
+// matchResponse says whether a response belongs to the request with the id. Only a response
+// that is not successful may lack an id.
+func matchResponse(info forwarder.ResponseInfo, status int, requestID string) exchanger.Match {
+	switch {
+	case info.RequestID == requestID:
+		return exchanger.Own
+	case info.RequestID == "" && status >= http.StatusMultipleChoices:
+		return exchanger.Anonymous
+	default:
+		return exchanger.Foreign
 	}
-	return info.RequestID == requestID
 }
 
 // Run serves until ctx ends. Then it becomes unready, drains and closes. The error
