Run a stream that cannot be resumed on one model only

What callers saw: nothing known. Cause: the decision to escalate did not ask whether the request may run again. Change: such a request begins with the largest model, and its response is kept. Evidence: TestStreamThatCannotResumeRunsOnce, row "low confidence", fails before. Why it works: after a first run no way leads to another attempt on these routes.

--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -52,7 +52,7 @@
 	budget := c.RetryBudgets.ForService(c.route.Service)
 	budget.RecordRequest()
 	c.lastEventID = c.LastEventID
-	c.size = sizer.FirstSize(c.costs(), false)
+	c.size = sizer.FirstSize(c.costs(), !c.route.Retryable())
 	var buffered *bufferedResponse
 	last := classifier.New(classifier.NoEndpoint, "no endpoint of service %q accepts requests", c.route.Service)
 	for attempts := 0; attempts < maxAttempts; attempts++ {
--- a/internal/forwarder/size.go
+++ b/internal/forwarder/size.go
@@ -41,7 +41,7 @@
 // none and the client has no event.
 func (c *call) adaptSize(choice *tracker.Choice) {
 	if len(c.steps) == 0 && !c.hasBegun() {
-		c.size = sizer.FirstSize(c.costs(), choice.Limited)
+		c.size = sizer.FirstSize(c.costs(), choice.Limited || !c.route.Retryable())
 	}
 }
 
@@ -50,7 +50,7 @@
 // budget.
 func (c *call) escalate(choice *tracker.Choice, info ResponseInfo) bool {
 	costs := c.costs()
-	if c.hasBegun() || costs == nil || info.Confidence < 0 {
+	if c.hasBegun() || !c.route.Retryable() || costs == nil || info.Confidence < 0 {
 		return false
 	}
 	c.steps = append(c.steps, sizer.Step{Size: c.size, Confidence: info.Confidence})
--- a/internal/sizer/sizer.go
+++ b/internal/sizer/sizer.go
@@ -54,11 +54,11 @@
 	OnTimeProbabilities []float64
 }
 
-// FirstSize returns the size to begin with: the smallest, unless the endpoint limits the
-// number of its requests. A cascade would take several of them, and the endpoint has time
-// for the largest model.
-func FirstSize(costs []float64, limited bool) int {
-	if !limited {
+// FirstSize returns the size to begin with: the smallest, unless the request should run only
+// once, because the endpoint limits the number of its requests or because no other run may
+// follow.
+func FirstSize(costs []float64, once bool) int {
+	if !once {
 		return 0
 	}
 	return max(0, len(costs)-1)
