Read past records whose key another writer has left malformed

An entry without a valid key made each daemon read the same page of the topic again and again: endpoints that drained afterwards got requests, new ones got none. Cause: a malformed key in a record of the right length was taken for a truncated response, so the whole page was an error. A key that is not UTF-8 could not be passed on by the zone reader. Change: such a record is left out with a log line, in all keyed topics.

--- a/internal/subscriber/subscriber.go
+++ b/internal/subscriber/subscriber.go
@@ -33,6 +33,8 @@
 // Page is the result of one read.
 type Page struct {
 	Records []Record
+	// Invalid says what is wrong with records that have no key and are left out.
+	Invalid []error
 	// Next is the offset after the last record of the page. End is the offset that
 	// the next append will get.
 	Next int64
@@ -302,6 +304,9 @@
 // the end of the topic, every record appended before verifiedAt has been read.
 func (s *Subscriber) applyPage(page Page, verifiedAt time.Duration) {
 	s.setNextOffset(page.Next)
+	for _, err := range page.Invalid {
+		s.logger.Warn("invalid record in topic", "topic", s.name, "error", err)
+	}
 	if len(page.Records) > 0 {
 		s.handle(Change{Records: page.Records})
 	}
