Refuse requests that a stopping daemon cannot end, and answer those it ends

In a planned stop a booking whose deadline is after the end of the grace was taken and passed on, and cut without a response; one that came after 2.6 s on an open connection was read and the connection closed. Cause: nothing in a stop knew when it ends. Its second half was left to http.Server.Shutdown, which closes what it reads and cuts what still runs. Change: a request that must not be repeated is refused at once unless its deadline is before the end of the stop, one that may be repeated once the load balancer sends no more connections. Evidence: 8 of 11 rows of TestRequestsAroundPlannedStop fail before. Why it works: what is passed on has a deadline before the end, or is ended with a response before the connections are closed.

--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -144,10 +144,17 @@
 	// key and to decide that a route or an API key does not exist.
 	Fresh bool
 	// Draining is set if the daemon is stopping and asks clients to close their
-	// connections.
-	Draining bool
+	// connections. Requests that are still running at RequestsEndAt are ended. Unlisted
+	// is set once the load balancer no longer sends connections.
+	Draining      bool
+	Unlisted      bool
+	RequestsEndAt time.Time
 }
 
+// ErrStopping is the cause with which the context of a request ends if the daemon stops while
+// the request is running.
+var ErrStopping = errors.New("the daemon stops")
+
 // ControlPlane provides the declaration, selects the version for each request and
 // collects the results that decide about rollouts.
 type ControlPlane interface {
@@ -342,9 +349,23 @@
 		return problem
 	}
 	c.deadline = c.arrived.Add(c.timeout())
+	if problem := c.checkStop(); problem != nil {
+		return problem
+	}
 	return c.readBody()
 }
 
+// checkStop rejects a request that a stopping daemon may not be able to end. While the load
+// balancer still sends connections, one that may be repeated is accepted, because most end
+// long before their deadlines.
+func (c *call) checkStop() *classifier.Error {
+	endsInTime := !c.deadline.After(c.view.RequestsEndAt)
+	if !c.view.Draining || endsInTime || c.route.Retryable() && !c.view.Unlisted {
+		return nil
+	}
+	return classifier.New(classifier.Stopping, "the instance stops before the request must end").WithRetryAfter(notReadyRetryAfter)
+}
+
 // notReadyRetryAfter is how long a client waits before it retries a request that
 // a daemon cannot serve for lack of a fresh view.
 const notReadyRetryAfter = 300 * time.Millisecond
@@ -436,14 +457,20 @@
 func (c *call) remaining() time.Duration { return time.Until(c.deadline) }
 
 // clientGone reports whether the client has disconnected.
-func (c *call) clientGone() bool { return c.http.Context().Err() != nil }
+func (c *call) clientGone() bool { return c.http.Context().Err() != nil && !c.stopped() }
+
+// stopped reports whether the request has been ended because the daemon stops.
+func (c *call) stopped() bool { return errors.Is(context.Cause(c.http.Context()), ErrStopping) }
 
 // fail ends a request for which no complete response was forwarded. It aborts the
 // connection if the response has started.
 func (c *call) fail(ctx context.Context, problem *classifier.Error) {
-	if c.clientGone() {
+	switch {
+	case c.clientGone():
 		problem = classifier.Wrap(classifier.ClientDisconnected, problem, "the client disconnected")
-	} else if errors.Is(ctx.Err(), context.DeadlineExceeded) && problem.Kind != classifier.NoEndpoint {
+	case c.stopped():
+		problem = classifier.Wrap(classifier.Stopping, problem, "the instance stops").WithRetryAfter(notReadyRetryAfter)
+	case errors.Is(ctx.Err(), context.DeadlineExceeded) && problem.Kind != classifier.NoEndpoint:
 		problem = classifier.Wrap(classifier.Timeout, problem, "the deadline passed")
 	}
 	if c.responseStarted {
--- a/internal/runner/listen.go
+++ b/internal/runner/listen.go
@@ -1,6 +1,7 @@
 package runner
 
 import (
+	"context"
 	"net"
 	"net/http"
 	"net/netip"
@@ -64,13 +65,25 @@
 	}
 }
 
-// serve runs the server in the group until the server is closed.
+// newClientServer returns the server of the clients' requests, whose contexts end with ctx or
+// by endRequests.
+func (r *Runner) newClientServer(ctx context.Context) *http.Server {
+	ctx, r.endRequests = context.WithCancelCause(ctx)
+	server := r.newServer(r.forwarder)
+	server.BaseContext = func(net.Listener) context.Context { return ctx }
+	server.ConnState = r.connections.setState
+	return server
+}
+
+// serve runs the server in the group until the server is closed, or its listener in a
+// planned stop.
 func (r *Runner) serve(group *errgroup.Group, server *http.Server, listener net.Listener) {
 	group.Go(func() error {
-		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
-			return err
+		err := server.Serve(listener)
+		if errors.Is(err, http.ErrServerClosed) || r.stopTimes.Load() != nil {
+			return nil
 		}
-		return nil
+		return err
 	})
 }
 
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -128,14 +128,18 @@
 	quarantine    *quarantiner.Quarantine
 	// sharers are the names of the daemons among which limits were last divided. Only
 	// sweep uses it.
-	sharers      []string
-	tracker      *tracker.Tracker
-	exchanger    *exchanger.Exchanger
-	forwarder    *forwarder.Forwarder
-	metrics      *metrics.Set
-	stopping     atomic.Bool
+	sharers   []string
+	tracker   *tracker.Tracker
+	exchanger *exchanger.Exchanger
+	forwarder *forwarder.Forwarder
+	metrics   *metrics.Set
+	// stopTimes is set while the daemon stops.
+	stopTimes    atomic.Pointer[stopTimes]
 	listeners    listeners
 	clientServer *http.Server
+	connections  *connections
+	// endRequests ends the clients' requests with a cause.
+	endRequests  context.CancelCauseFunc
 	otherServers []*http.Server
 }
 
@@ -144,11 +148,12 @@
 func New(settings Settings, deps Dependencies) (*Runner, error) {
 	logOutput := noter.New(deps.LogOutput)
 	r := &Runner{
-		deps:    deps,
-		noter:   logOutput,
-		logger:  logOutput.Logger("entry", settings.LogLevel),
-		system:  keeper.NewSystem(),
-		metrics: metrics.NewSet(),
+		deps:        deps,
+		noter:       logOutput,
+		logger:      logOutput.Logger("entry", settings.LogLevel),
+		system:      keeper.NewSystem(),
+		metrics:     metrics.NewSet(),
+		connections: newConnections(),
 	}
 	r.settings.Store(&settings)
 	r.registerMetrics()
@@ -271,7 +276,7 @@
 		run(r.peers.prober.Run)
 		run(r.peers.prober.RunUrgent)
 	}
-	r.clientServer = r.newServer(r.forwarder)
+	r.clientServer = r.newClientServer(ctx)
 	r.serve(group, r.clientServer, r.listeners.clients)
 	for _, handled := range []struct {
 		listener net.Listener
--- a/internal/runner/stop.go
+++ b/internal/runner/stop.go
@@ -2,36 +2,128 @@
 
 import (
 	"context"
+	"net"
+	"net/http"
 	"sync"
 	"time"
 
-	"github.com/go-faster/errors"
+	"quetzalgrade.example/quetzalgrade/internal/forwarder"
 )
 
 const (
 	// unreadyPeriod is how long a stopping daemon still accepts connections. The load
 	// balancer probes once a second and removes an instance after two failures.
 	unreadyPeriod = 2600 * time.Millisecond
-	// stopMargin is the part of the grace that is left for the process to exit.
-	stopMargin = 700 * time.Millisecond
+	// newConnectionWait is how long after that a connection may stay without a request.
+	newConnectionWait = time.Second
+	// stopMargin is the part of the grace that is left for the process to exit, and
+	// responseMargin the part before it that is left to respond to requests that are still
+	// running.
+	stopMargin     = 700 * time.Millisecond
+	responseMargin = 300 * time.Millisecond
+	// stopPollInterval is the time between two checks whether the requests have ended.
+	stopPollInterval = 20 * time.Millisecond
 )
 
+// stopTimes are the times of a planned stop.
+type stopTimes struct {
+	// unlistedAt is when the load balancer sends no more connections, requestsEndAt when
+	// requests that are still running are ended, and closedAt when the connections are
+	// closed.
+	unlistedAt    time.Time
+	requestsEndAt time.Time
+	closedAt      time.Time
+}
+
+func newStopTimes(now time.Time, grace time.Duration) *stopTimes {
+	closedAt := now.Add(max(0, grace-stopMargin))
+	requestsEndAt := closedAt.Add(-responseMargin)
+	unlistedAt := now.Add(unreadyPeriod)
+	if unlistedAt.After(requestsEndAt) {
+		unlistedAt = requestsEndAt
+	}
+	return &stopTimes{unlistedAt: unlistedAt, requestsEndAt: requestsEndAt, closedAt: closedAt}
+}
+
 // stop makes the daemon unready, waits for requests to end and closes the clients'
-// connections.
+// connections. A request that has not ended by then gets a response that says so.
 func (r *Runner) stop(ctx context.Context) {
-	r.logger.Info("daemon stopping", "grace", r.settings.Load().StopGrace)
-	r.stopping.Store(true)
+	grace := r.settings.Load().StopGrace
+	times := newStopTimes(time.Now(), grace)
+	r.logger.Info("daemon stopping", "grace", grace)
+	r.stopTimes.Store(times)
 	r.relayer.Drain()
-	ctx, cancel := context.WithTimeout(ctx, r.settings.Load().StopGrace-stopMargin)
+	ctx, cancel := context.WithDeadline(ctx, times.closedAt)
 	defer cancel()
 	var announced sync.WaitGroup
 	announced.Go(func() { r.peers.prober.AnnounceLeaving(ctx) })
 	defer announced.Wait()
+	sleepUntil(ctx, times.unlistedAt)
+	_ = r.listeners.clients.Close()
+	r.clientServer.SetKeepAlivesEnabled(false)
+	if !r.awaitRequests(ctx, times) {
+		active, _ := r.connections.counts()
+		r.logger.Warn("requests still running at the end of the stop grace", "connections", active)
+		r.endRequests(forwarder.ErrStopping)
+		r.awaitRequests(ctx, &stopTimes{unlistedAt: times.unlistedAt, requestsEndAt: times.closedAt})
+	}
+}
+
+// awaitRequests waits until no connection has a request and those without one had time to
+// send it, or until requests must end. It reports whether no request is left.
+func (r *Runner) awaitRequests(ctx context.Context, times *stopTimes) bool {
+	for {
+		active, fresh := r.connections.counts()
+		now := time.Now()
+		if active == 0 && (fresh == 0 || now.Sub(times.unlistedAt) > newConnectionWait) {
+			return true
+		}
+		if !now.Before(times.requestsEndAt) || ctx.Err() != nil {
+			return active == 0
+		}
+		sleepUntil(ctx, now.Add(stopPollInterval))
+	}
+}
+
+// sleepUntil sleeps until the time or the end of ctx.
+func sleepUntil(ctx context.Context, end time.Time) {
 	select {
-	case <-time.After(unreadyPeriod):
+	case <-time.After(time.Until(end)):
 	case <-ctx.Done():
 	}
-	if err := r.clientServer.Shutdown(ctx); err != nil && !errors.Is(err, context.Canceled) {
-		r.logger.Warn("requests still running at the end of the stop grace", "error", err)
+}
+
+// connections counts the clients' connections by state. It is safe for concurrent use.
+type connections struct {
+	mu     sync.Mutex
+	states map[net.Conn]http.ConnState
+}
+
+func newConnections() *connections { return &connections{states: map[net.Conn]http.ConnState{}} }
+
+// setState records the state of a connection, as http.Server.ConnState does.
+func (c *connections) setState(connection net.Conn, state http.ConnState) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if state == http.StateClosed || state == http.StateHijacked {
+		delete(c.states, connection)
+		return
+	}
+	c.states[connection] = state
+}
+
+// counts returns the number of connections with a request, and of those that have not had
+// one.
+func (c *connections) counts() (active, fresh int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, state := range c.states {
+		switch state {
+		case http.StateActive:
+			active++
+		case http.StateNew:
+			fresh++
+		}
 	}
+	return active, fresh
 }
--- a/internal/runner/view.go
+++ b/internal/runner/view.go
@@ -15,12 +15,17 @@
 // View implements forwarder.ControlPlane.
 func (r *Runner) View() forwarder.View {
 	age, verified := r.operatorTopic.VerifiedAge()
-	return forwarder.View{
-		Table:    r.table(),
-		Age:      age,
-		Fresh:    verified && age < time.Duration(freshnessShare*float64(r.settings.Load().RevokeDeadline)),
-		Draining: r.stopping.Load(),
+	view := forwarder.View{
+		Table: r.table(),
+		Age:   age,
+		Fresh: verified && age < time.Duration(freshnessShare*float64(r.settings.Load().RevokeDeadline)),
 	}
+	if times := r.stopTimes.Load(); times != nil {
+		view.Draining = true
+		view.Unlisted = !time.Now().Before(times.unlistedAt)
+		view.RequestsEndAt = times.requestsEndAt
+	}
+	return view
 }
 
 // table returns the declaration in force. It is nil before the first one.
