Do not pass on a status that denies a run for a request that ran

Cause: the last server error of an endpoint was forwarded whatever its status, and a 408 or 429 without Not-Executed like any response. Only the router's own errors were held to the promise. Change: a response with a status that denies a run and that is no refusal is a server error whose body is not kept: the request goes on elsewhere where it may, or ends with an unsigned 502. Why it works: one function names these statuses, and no response with one of them is forwarded. Looked at for the same cause: begun streams, long bodies, retries that end with a refusal, stops.

--- a/internal/classifier/classifier.go
+++ b/internal/classifier/classifier.go
@@ -64,6 +64,17 @@
 // for a client that closed its connection before the response.
 const statusClientClosedRequest = 499
 
+// DeniesRun reports whether an HTTP status tells the client that its request has not run and
+// never will, so that the client may send it again whatever it does.
+func DeniesRun(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	default:
+		return false
+	}
+}
+
 // Response describes the response to a request that ended with an error.
 type Response struct {
 	// Status is the HTTP status.
--- a/internal/forwarder/whole.go
+++ b/internal/forwarder/whole.go
@@ -36,7 +36,8 @@
 	if err == nil {
 		err = checkResponse(response.Status, info)
 	}
-	isError := response.Status >= http.StatusInternalServerError
+	deniesRun := classifier.DeniesRun(response.Status)
+	isError := response.Status >= http.StatusInternalServerError || deniesRun
 	if err == nil && len(body) > maxBufferedBytes {
 		if !isError {
 			return c.forwardLong(ctx, choice, response, body)
@@ -51,6 +52,10 @@
 		c.recordResult(choice, ServerError, c.ttft, 0)
 		choice.End(tracker.Failure, 0)
 		c.log("endpoint returned a server error", c.endpointFields(choice, "status", response.Status)...)
+		if deniesRun {
+			// The endpoint has run the request, so its status must not reach the client.
+			got = nil
+		}
 		return statusFailed, got, classifier.New(classifier.EndpointFailed, "endpoint %s failed with status %d", choice.ID, response.Status)
 	}
 	c.recordResult(choice, Completed, c.ttft, 0)
