End reads that wait on a silent path when another read finds it silent

Cause: each topic's reads, and each call to the zone reader, found out by their own waits, of up to 10.7 s, that the path is dead, although another read knew it after 1.4 s. Change: when one topic's reads get no response, the waiting reads of the others end; the second read behind each waiting one has a bound of its own; a reader that gets no response says so at once; a daemon that drops a reader ends all its calls there; a reader that is silent to the exchange of loads for 0.375 of the drain deadline is dropped. No further call to the log in steady state. Why it works: the longest time until a daemon reads the log itself follows from the shortest wait.

--- a/internal/commander/entry.go
+++ b/internal/commander/entry.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 	"time"
 
@@ -33,16 +34,44 @@
 			Usage:    "read the settings from `FILE`",
 			Sources:  cli.EnvVars(platform.SettingsVariable),
 			Required: true,
+		}, &cli.FloatFlag{
+			Name:  "memory",
+			Usage: "keep the process within `MEGABYTES` of memory",
+			Value: runner.DefaultMemory >> 20,
 		}},
 		Action: func(ctx context.Context, command *cli.Command) error {
-			return runEntry(ctx, command.String("settings"), command.Root().Writer)
+			memory, err := parseMemory(command.Float("memory"))
+			if err != nil {
+				return err
+			}
+			debug.SetMemoryLimit(int64(heapShare * float64(memory)))
+			return runEntry(ctx, command.String("settings"), memory, command.Root().Writer)
 		},
 	}
 }
 
+const (
+	// minMemory is the least memory that a daemon runs with, heapShare the share of the memory
+	// that the runtime keeps its heap within. The rest is for the program itself and for what
+	// the kernel holds of its connections.
+	minMemory = 64 << 20
+	heapShare = 0.75
+	// maxMemory bounds a number that would not fit an integer.
+	maxMemory = 1 << 40
+)
+
+// parseMemory returns a number of megabytes in bytes. It may have a fraction.
+func parseMemory(megabytes float64) (int64, error) {
+	bytes := megabytes * (1 << 20)
+	if !(bytes >= minMemory && bytes <= maxMemory) {
+		return 0, usageErrorf("memory of %v megabytes is out of range: want %d to %d", megabytes, minMemory>>20, maxMemory>>20)
+	}
+	return int64(bytes), nil
+}
+
 // runEntry runs an entry daemon until ctx ends and reloads its settings on
 // SIGHUP.
-func runEntry(ctx context.Context, file string, logs io.Writer) error {
+func runEntry(ctx context.Context, file string, memory int64, logs io.Writer) error {
 	settings, err := runner.LoadSettings(file)
 	if err != nil {
 		return err
@@ -72,6 +101,7 @@
 		ContactTopic:  log.Contacts(),
 		Clock:         runner.SinceBoot,
 		LogOutput:     logs,
+		Memory:        memory,
 		ReloadSignal:  reload,
 		LoadSettings:  func() (runner.Settings, error) { return runner.LoadSettings(file) },
 	})
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -17,6 +17,7 @@
 	"quetzalgrade.example/quetzalgrade/internal/classifier"
 	"quetzalgrade.example/quetzalgrade/internal/exchanger"
 	"quetzalgrade.example/quetzalgrade/internal/matcher"
+	"quetzalgrade.example/quetzalgrade/internal/reserver"
 	"quetzalgrade.example/quetzalgrade/internal/sizer"
 	"quetzalgrade.example/quetzalgrade/internal/tracker"
 )
@@ -251,8 +252,10 @@
 	Tracker      *tracker.Tracker
 	Exchanger    *exchanger.Exchanger
 	RetryBudgets *RetryBudgets
-	Logger       hclog.Logger
-	Counters     *Counters
+	// Bodies is the memory that the bodies of all requests may take.
+	Bodies   *reserver.Budget
+	Logger   hclog.Logger
+	Counters *Counters
 }
 
 // Forwarder is an http.Handler that serves the requests of clients.
@@ -273,6 +276,8 @@
 	route   *matcher.Route
 	account *matcher.Account
 	body    []byte
+	// memory is what the request holds of the memory for bodies.
+	memory  *reserver.Reservation
 	arrived time.Time
 	// deadline is when the response must be complete.
 	deadline time.Time
@@ -311,7 +316,8 @@
 
 // ServeHTTP implements http.Handler.
 func (f *Forwarder) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
-	c := &call{Forwarder: f, writer: writer, http: request, view: f.ControlPlane.View(), arrived: time.Now()}
+	c := &call{Forwarder: f, writer: writer, http: request, view: f.ControlPlane.View(), memory: f.Bodies.NewReservation(), arrived: time.Now()}
+	defer c.memory.Release()
 	f.Counters.Requests.Inc()
 	if c.view.Draining || len(request.TransferEncoding) > 0 {
 		// A chunked body may hide a smuggled request that a Content-Length would
@@ -435,7 +441,12 @@
 	if err := control.SetReadDeadline(c.deadline); err != nil {
 		return classifier.Wrap(classifier.Internal, err, "failed to bound the time to read the request body")
 	}
-	body, err := io.ReadAll(io.LimitReader(c.http.Body, limit+1))
+	body, err := c.receiveBody(limit)
+	if errors.Is(err, errNoMemory) {
+		// The rest of the body is not read.
+		c.writer.Header().Set("Connection", "close")
+		return classifier.Wrap(classifier.MemoryFull, err, "the bodies of other requests take all the memory for them").WithRetryAfter(notReadyRetryAfter)
+	}
 	if errors.Is(err, os.ErrDeadlineExceeded) {
 		c.writer.Header().Set("Connection", "close")
 		return classifier.Wrap(classifier.BodyIncomplete, err, "the request body did not arrive before the deadline")
@@ -453,6 +464,46 @@
 	return nil
 }
 
+// errNoMemory is the error of a body that does not fit into the memory for bodies.
+var errNoMemory = errors.New("no memory is left for the body")
+
+// minBodyBuffer is the size of the buffer for the beginning of a body of unknown length.
+const minBodyBuffer = 4 << 10
+
+// receiveBody reads the body, or one byte more than the limit. It reserves the memory for a body of
+// known length before it reads any of it, and for another one as it grows.
+func (c *call) receiveBody(limit int64) ([]byte, error) {
+	if length := c.http.ContentLength; length >= 0 {
+		if !c.memory.Grow(length) {
+			return nil, errNoMemory
+		}
+		body := make([]byte, length)
+		_, err := io.ReadFull(c.http.Body, body)
+		return body, err
+	}
+	reader := io.LimitReader(c.http.Body, limit+1)
+	var body []byte
+	for {
+		if len(body) == cap(body) {
+			size := max(minBodyBuffer, 2*cap(body))
+			// Both buffers exist while one is copied to the other.
+			if !c.memory.Grow(int64(cap(body) + size)) {
+				return nil, errNoMemory
+			}
+			body = append(make([]byte, 0, size), body...)
+			c.memory.Shrink(int64(size))
+		}
+		n, err := reader.Read(body[len(body):cap(body)])
+		body = body[:len(body)+n]
+		if errors.Is(err, io.EOF) {
+			return body, nil
+		}
+		if err != nil {
+			return nil, err
+		}
+	}
+}
+
 // remaining returns the time until the deadline.
 func (c *call) remaining() time.Duration { return time.Until(c.deadline) }
 
--- a/internal/relayer/client.go
+++ b/internal/relayer/client.go
@@ -33,6 +33,8 @@
 // readerClients call the zone reader that this daemon follows.
 type readerClients struct {
 	ZoneReader
+	// dropped is closed when this daemon stops following the reader.
+	dropped  chan struct{}
 	relay    schemaconnect.RelayServiceClient
 	snapshot schemaconnect.SnapshotServiceClient
 }
@@ -42,12 +44,27 @@
 	bound := connect.WithReadMaxBytes(maxMessageBytes)
 	return &readerClients{
 		ZoneReader: reader,
+		dropped:    make(chan struct{}),
 		relay:      schemaconnect.NewRelayServiceClient(r.client, url, bound, connect.WithAcceptCompression("gzip", nil, nil)),
 		// Snapshots are compressed already.
 		snapshot: schemaconnect.NewSnapshotServiceClient(r.client, url, bound, connect.WithAcceptCompression("gzip", nil, nil)),
 	}
 }
 
+// whileFollowed returns a context that ends after the timeout, or when this daemon stops
+// following the reader: a call of one topic must not outlast the failure of another.
+func (c *readerClients) whileFollowed(ctx context.Context, timeout time.Duration) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	go func() {
+		select {
+		case <-c.dropped:
+			cancel()
+		case <-ctx.Done():
+		}
+	}()
+	return ctx, cancel
+}
+
 // maxReaders bounds the zone readers that one read tries.
 const maxReaders = 2
 
@@ -62,7 +79,7 @@
 		if reader == nil {
 			return result, subscriber.ErrNoPeer
 		}
-		callCtx, cancel := context.WithTimeout(ctx, timeout)
+		callCtx, cancel := reader.whileFollowed(ctx, timeout)
 		result, err = call(callCtx, reader)
 		cancel()
 		if err == nil {
--- a/internal/relayer/loads.go
+++ b/internal/relayer/loads.go
@@ -21,29 +21,44 @@
 )
 
 // ShareLoads exchanges the loads of endpoints with the zone reader until ctx ends,
-// and returns the error of ctx.
+// and returns the error of ctx. A reader that responds to no exchange for MaxSilence has failed:
+// its host may be frozen or cut off, which the reads notice only at the end of their waits.
 func (r *Relayer) ShareLoads(ctx context.Context) error {
 	ticker := time.NewTicker(loadExchangeInterval)
 	defer ticker.Stop()
+	// silentSince is when the first exchange of those without a response was sent, or zero.
+	var silentSince time.Time
 	for {
 		select {
 		case <-ticker.C:
-			r.exchangeLoads(ctx)
 		case <-ctx.Done():
 			return ctx.Err()
 		}
+		sentAt := time.Now()
+		reader, err := r.exchangeLoads(ctx)
+		if connect.CodeOf(err) != connect.CodeDeadlineExceeded {
+			silentSince = time.Time{}
+			continue
+		}
+		if silentSince.IsZero() {
+			silentSince = sentAt
+		}
+		if r.MaxSilence > 0 && time.Since(silentSince) >= r.MaxSilence {
+			r.dropReader(reader, err)
+			silentSince = time.Time{}
+		}
 	}
 }
 
-// exchangeLoads sends the loads that this daemon has seen to the zone reader, and
-// receives those of busy endpoints. An error only means that the loads are not
-// updated: a failure of the zone reader is detected by Read.
-func (r *Relayer) exchangeLoads(ctx context.Context) {
+// exchangeLoads sends the loads that this daemon has seen to the zone reader, and receives
+// those of busy endpoints. An error means that the loads are not updated. It returns the reader,
+// if this daemon follows one.
+func (r *Relayer) exchangeLoads(ctx context.Context) (ZoneReader, error) {
 	r.mu.Lock()
 	reader := r.readerClients
 	r.mu.Unlock()
 	if reader == nil {
-		return
+		return ZoneReader{}, nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, loadExchangeTimeout)
 	defer cancel()
@@ -52,9 +67,10 @@
 	}))
 	if err != nil {
 		r.Logger.Debug("cannot exchange endpoint loads with the zone reader", "reader", reader.Name, "error", err)
-		return
+		return reader.ZoneReader, err
 	}
 	r.LoadTracker.MergeLoads(decodeLoads(response.Msg.GetLoads()))
+	return reader.ZoneReader, nil
 }
 
 // Loads implements schemaconnect.RelayServiceHandler.
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -93,7 +93,10 @@
 	Clock   subscriber.Clock
 	// LoadTracker provides the loads that are exchanged with the zone reader.
 	LoadTracker LoadTracker
-	Logger      hclog.Logger
+	// MaxSilence is how long the zone reader may leave exchanges of loads without a response
+	// before this daemon stops following it, or 0 for any time.
+	MaxSilence time.Duration
+	Logger     hclog.Logger
 }
 
 // Relayer reads topics from the zone reader, or serves them if this daemon is the
@@ -411,9 +414,10 @@
 	r.role = role
 	r.lastRequest = r.Clock()
 	if role != Following {
-		r.readerClients = nil
+		r.closeClients()
 		reader = r.Self
 	} else if changed {
+		r.closeClients()
 		r.readerClients = r.newReaderClients(reader)
 	}
 	r.reader = reader
@@ -422,6 +426,15 @@
 	}
 }
 
+// closeClients ends the calls to the zone reader that are in progress. The caller holds the
+// mutex.
+func (r *Relayer) closeClients() {
+	if r.readerClients != nil {
+		close(r.readerClients.dropped)
+		r.readerClients = nil
+	}
+}
+
 // dropReader stops following a zone reader that has failed. The daemon reads the
 // log until another zone reader is known.
 func (r *Relayer) dropReader(reader ZoneReader, err error) {
@@ -432,7 +445,7 @@
 	}
 	r.Logger.Info("zone reader failed; reading the log", "zone", r.Zone, "role", Alone.String(), "lost", reader.Name, "error", err)
 	r.role = Alone
-	r.readerClients = nil
+	r.closeClients()
 	r.failedReader = reader
 	// After a timeout the view may be too old to wait for the next zone reader.
 	if connect.CodeOf(err) != connect.CodeDeadlineExceeded && r.isDecided() {
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -28,6 +28,7 @@
 	"quetzalgrade.example/quetzalgrade/internal/promoter"
 	"quetzalgrade.example/quetzalgrade/internal/quarantiner"
 	"quetzalgrade.example/quetzalgrade/internal/relayer"
+	"quetzalgrade.example/quetzalgrade/internal/reserver"
 	"quetzalgrade.example/quetzalgrade/internal/subscriber"
 	"quetzalgrade.example/quetzalgrade/internal/tracker"
 )
@@ -83,12 +84,24 @@
 	ContactTopic WritableTopic
 	Clock        subscriber.Clock
 	LogOutput    io.Writer
+	// Memory is the number of bytes that the process may use. If it is 0, DefaultMemory
+	// applies.
+	Memory int64
 	// ReloadSignal yields a value when the settings may have changed. LoadSettings
 	// reads them; if it is nil, settings are never reloaded.
 	ReloadSignal <-chan struct{}
 	LoadSettings func() (Settings, error)
 }
 
+const (
+	// DefaultMemory is the number of bytes that a process may use unless told otherwise: it
+	// fits the usual entry instance.
+	DefaultMemory = 256 << 20
+	// bodyShare is the share of the memory for the bodies of requests in progress. As much
+	// again may be garbage.
+	bodyShare = 0.3
+)
+
 const (
 	// operatorReadWait is how long a read waits for a declaration, operatorReadSlack how
 	// much longer its response may take. When the log is silent to the zone reader, the
@@ -103,6 +116,9 @@
 	// the time within which a draining endpoint must get no more requests.
 	endpointReadWait   = 10 * time.Second
 	endpointBatchShare = 0.5
+	// readerSilenceShare is how long a zone reader may be silent, as a share of the same time.
+	// The rest is for one more exchange, the change of the reader and the read of the log.
+	readerSilenceShare = 0.375
 	// confirmAfter is the time after which a waiting read is backed by a second read
 	// that does not wait.
 	confirmAfter = 60 * time.Millisecond
@@ -128,8 +144,10 @@
 	quarantine    *quarantiner.Quarantine
 	// sharers are the names of the daemons among which limits were last divided. Only
 	// sweep uses it.
-	sharers   []string
-	tracker   *tracker.Tracker
+	sharers []string
+	tracker *tracker.Tracker
+	// bodies is the memory that the bodies of requests share.
+	bodies    *reserver.Budget
 	exchanger *exchanger.Exchanger
 	forwarder *forwarder.Forwarder
 	metrics   *metrics.Set
@@ -156,6 +174,11 @@
 		connections: newConnections(),
 	}
 	r.settings.Store(&settings)
+	memory := deps.Memory
+	if memory <= 0 {
+		memory = DefaultMemory
+	}
+	r.bodies = reserver.NewBudget(int64(bodyShare * float64(memory)))
 	r.registerMetrics()
 	r.operatorState = keeper.New(r.system, newOperatorState(), (*operatorState).snapshot)
 	random := rand.New(rand.NewPCG(uint64(time.Now().UnixNano()), uint64(deps.Clock())))
@@ -170,6 +193,7 @@
 		ControlPlane: r,
 		Tracker:      r.tracker,
 		Exchanger:    r.exchanger,
+		Bodies:       r.bodies,
 		RetryBudgets: forwarder.NewRetryBudgets(retryShare*settings.RetryRatio, retryBurst),
 		Logger:       r.logger,
 		Counters:     forwarder.NewCounters(r.metrics),
@@ -182,12 +206,27 @@
 	}
 	r.endpointTopic = subscriber.New("endpoints", deps.EndpointTopic, endpointTiming, deps.Clock, r.applyRegistrations, r.logger)
 	r.quarantine = quarantiner.New(r.logQuarantine)
+	r.interruptReads(r.operatorTopic, r.endpointTopic, r.rollouts.statusTopic, r.rollouts.resultsTopic)
 	r.shareReads()
 	r.contacts = newContacts(r)
 	r.peers = newPeers(r, r.applyFacts)
 	return r, r.listen()
 }
 
+// interruptReads makes the silence of the log to one topic's reads end the waiting reads of the
+// others.
+func (r *Runner) interruptReads(topics ...*subscriber.Subscriber) {
+	for _, silent := range topics {
+		silent.OnSilence(func() {
+			for _, other := range topics {
+				if other != silent {
+					other.Interrupt()
+				}
+			}
+		})
+	}
+}
+
 // shareReads sets up the relayer, which lets the daemons of the zone share their
 // reads of the log.
 func (r *Runner) shareReads() {
@@ -199,6 +238,7 @@
 		Network:     r.deps.Network,
 		Clock:       r.deps.Clock,
 		LoadTracker: r.tracker,
+		MaxSilence:  time.Duration(readerSilenceShare * float64(settings.DrainDeadline)),
 		Logger:      r.logger,
 	})
 	if settings.RelayAddress.IsValid() {
--- a/internal/subscriber/subscriber.go
+++ b/internal/subscriber/subscriber.go
@@ -116,6 +116,9 @@
 	// initialised is set once all keys have been read and nextOffset is valid. Only
 	// Run uses it.
 	initialised bool
+	// onSilence is called when reads begin to fail because no response comes. It is nil if
+	// there is nothing to do.
+	onSilence func()
 
 	mu sync.Mutex
 	// nextOffset is the offset of the next read.
@@ -131,6 +134,8 @@
 	// one. It is valid if hasRecovered is set.
 	recoveredAt  time.Duration
 	hasRecovered bool
+	// interrupt ends the read that is waiting for records. It is nil if there is none.
+	interrupt context.CancelCauseFunc
 }
 
 // ReadTiming configures the timing of a subscriber's reads.
@@ -173,6 +178,31 @@
 // the peer fails or is stale. It must be called before Run.
 func (s *Subscriber) SetPeer(peer Peer) { s.peer = peer }
 
+// OnSilence sets a function that is called when reads begin to fail because no response comes,
+// other than by Interrupt. It must be called before Run.
+func (s *Subscriber) OnSilence(handle func()) { s.onSilence = handle }
+
+// errInterrupted is the error of a read that Interrupt has ended.
+var errInterrupted = errors.New("reads of another topic get no response; the connection may be silent")
+
+// Interrupt ends a read of the log that is waiting for records, as a failure. When reads of
+// another topic get no response, that to this one may never come either, and it would be missed
+// only after the whole wait.
+func (s *Subscriber) Interrupt() {
+	s.mu.Lock()
+	interrupt := s.interrupt
+	s.mu.Unlock()
+	if interrupt != nil {
+		interrupt(errInterrupted)
+	}
+}
+
+func (s *Subscriber) setInterrupt(interrupt context.CancelCauseFunc) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.interrupt = interrupt
+}
+
 // Name returns the name of the topic.
 func (s *Subscriber) Name() string { return s.name }
 
@@ -322,12 +352,34 @@
 // readSource makes one read of the source, backed by a second read that does not
 // wait. It returns waited as false if the page is from the second read.
 func (s *Subscriber) readSource(ctx context.Context, wait time.Duration) (page Page, waited bool, err error) {
+	ctx, interrupt := context.WithCancelCause(ctx)
+	defer interrupt(nil)
+	if wait > 0 {
+		s.setInterrupt(interrupt)
+		defer s.setInterrupt(nil)
+	}
 	ctx, cancel := context.WithTimeout(ctx, wait+s.timing.slack(wait))
 	defer cancel()
 	if s.timing.ConfirmAfter <= 0 || wait <= s.timing.ConfirmAfter {
 		page, err = s.source.Read(ctx, s.nextOffset, wait)
-		return page, true, err
+		waited = true
+	} else {
+		page, waited, err = s.readConfirmed(ctx, cancel, wait)
 	}
+	return page, waited, interruption(ctx, err)
+}
+
+// interruption returns errInterrupted in place of an error that Interrupt has caused.
+func interruption(ctx context.Context, err error) error {
+	if err != nil && errors.Is(context.Cause(ctx), errInterrupted) {
+		return errInterrupted
+	}
+	return err
+}
+
+// readConfirmed makes a read that waits, and a second one that does not while the first one
+// waits. If the second one has records or fails, it ends the first one, by cancel.
+func (s *Subscriber) readConfirmed(ctx context.Context, cancel context.CancelFunc, wait time.Duration) (page Page, waited bool, err error) {
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
@@ -341,21 +393,26 @@
 	case <-timer.C:
 	}
 	confirmSentAt := s.clock()
-	confirmed, confirmErr := s.source.Read(ctx, s.nextOffset, 0)
-	if confirmErr == nil && len(confirmed.Records) > 0 {
+	confirmed, confirmErr := s.confirm(ctx)
+	if confirmErr != nil || len(confirmed.Records) > 0 {
 		cancel()
 		<-done
-		return confirmed, false, nil
-	}
-	if confirmErr == nil {
-		// The waiting read counts only from its own start, so other daemons would take
-		// this one for outdated during a long wait.
-		s.applyPage(confirmed, confirmSentAt)
+		return confirmed, false, confirmErr
 	}
+	// The waiting read counts only from its own start, so other daemons would take
+	// this one for outdated during a long wait.
+	s.applyPage(confirmed, confirmSentAt)
 	<-done
 	return page, true, err
 }
 
+// confirm makes a read that does not wait.
+func (s *Subscriber) confirm(ctx context.Context) (Page, error) {
+	ctx, cancel := context.WithTimeout(ctx, s.timing.slack(0))
+	defer cancel()
+	return s.source.Read(ctx, s.nextOffset, 0)
+}
+
 func (s *Subscriber) setNextOffset(next int64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -446,22 +503,36 @@
 // recordResult records the result of a read. It logs when reads begin to fail
 // and when they succeed again.
 func (s *Subscriber) recordResult(err error) {
+	if s.updateFailing(err) && errors.Is(err, context.DeadlineExceeded) && s.onSilence != nil {
+		s.onSilence()
+	}
+}
+
+// updateFailing reports whether reads begin to fail.
+func (s *Subscriber) updateFailing(err error) (begins bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.reads++
 	failing := err != nil
 	if failing == s.failing {
-		return
+		return false
 	}
 	s.failing = failing
 	if failing {
-		s.window.markFailing()
+		s.window.markFailing(isSilence(err))
 		s.logger.Warn("cannot read topic from the log", "topic", s.name, "error", err, "proof_age", noter.FormatDuration(s.clock()-s.verifiedAt))
-		return
+		return true
 	}
 	s.recoveredAt = s.clock()
 	s.hasRecovered = true
 	s.logger.Info("reads of topic succeed again", "topic", s.name, "offset", s.nextOffset)
+	return false
+}
+
+// isSilence reports whether a read failed because no response came, so that the next one may
+// also take long to fail.
+func isSilence(err error) bool {
+	return errors.Is(err, context.DeadlineExceeded) || errors.Is(err, errInterrupted)
 }
 
 // VerifiedAge returns the time since the last verified read. It returns false if
--- a/internal/subscriber/subscriber_test.go
+++ b/internal/subscriber/subscriber_test.go
@@ -127,3 +127,66 @@
 		}
 	})
 }
+
+// A read that waits on a connection that has gone silent would hide records until its wait is
+// over. The failure of another topic's reads, or of the second read, must end it, and the next
+// read must not wait. An interruption must not be passed on, or two topics would interrupt each
+// other for ever.
+func TestSilentReadIsEnded(t *testing.T) {
+	rows := map[string]struct {
+		confirmAfter time.Duration
+		interrupt    bool
+		// maxTime bounds the time from the silent read to the next one.
+		maxTime time.Duration
+		// wantSilences is the number of calls of the handler of silence.
+		wantSilences int
+	}{
+		"interrupted":              {0, true, 1100 * time.Millisecond, 0},
+		"second read gets silence": {60 * time.Millisecond, false, 900 * time.Millisecond, 1},
+		"not ended":                {0, false, 11 * time.Second, 1},
+	}
+	for name, row := range rows {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				start := time.Now()
+				var silentSince, nextAt time.Time
+				nextWait := time.Duration(-1)
+				log := &fakeSource{read: func(ctx context.Context, from int64, wait time.Duration) (subscriber.Page, error) {
+					switch {
+					case silentSince.IsZero():
+						silentSince = time.Now()
+					case nextAt.IsZero() && (row.confirmAfter == 0 || time.Since(silentSince) > 2*row.confirmAfter):
+						nextAt, nextWait = time.Now(), wait
+						return longPoll(ctx, from, wait)
+					case !nextAt.IsZero():
+						return longPoll(ctx, from, wait)
+					}
+					<-ctx.Done()
+					return subscriber.Page{}, ctx.Err()
+				}}
+				s := subscriber.New("t", log, subscriber.ReadTiming{Wait: 10 * time.Second, ConfirmAfter: row.confirmAfter},
+					func() time.Duration { return time.Since(start) }, func(subscriber.Change) {}, hclog.NewNullLogger())
+				silences := 0
+				s.OnSilence(func() { silences++ })
+				ctx, cancel := context.WithCancel(t.Context())
+				done := make(chan error, 1)
+				go func() { done <- s.Run(ctx) }()
+				time.Sleep(time.Second)
+				if row.interrupt {
+					s.Interrupt()
+				}
+				time.Sleep(20 * time.Second)
+				cancel()
+				if err := <-done; !errors.Is(err, context.Canceled) {
+					t.Errorf("Run() got error %v, want that of ctx", err)
+				}
+				if took := nextAt.Sub(silentSince); took > row.maxTime || nextWait != 0 {
+					t.Errorf("next read came after %v with a wait of %v, want at most %v and no wait", took, nextWait, row.maxTime)
+				}
+				if silences != row.wantSilences {
+					t.Errorf("calls of the handler of silence got %d, want %d", silences, row.wantSilences)
+				}
+			})
+		})
+	}
+}
--- a/internal/subscriber/window.go
+++ b/internal/subscriber/window.go
@@ -18,13 +18,16 @@
 	ErrUnread = errors.New("topic has not been read yet or is not followed")
 	// ErrFailing is returned while reads of the topic fail.
 	ErrFailing = errors.New("reads of topic are failing")
+	// errSilent is the ErrFailing of reads that get no response.
+	errSilent = errors.Wrap(ErrFailing, "no response from the log")
 )
 
 const (
 	// maxBufferedBytes bounds the record values that are buffered for other daemons.
 	maxBufferedBytes = 256 << 10
 	// failingGrace is how long a request waits for reads of the log that fail to succeed
-	// again, so that a short failure does not make all daemons read the log.
+	// again, so that a short failure does not make all daemons read the log. Reads that get
+	// no response have taken long already.
 	failingGrace = 400 * time.Millisecond
 	// maxPeerPageBytes bounds the record values of one page for another daemon, unless
 	// a single record is larger. Many daemons may ask at once, and the network bandwidth
@@ -49,6 +52,7 @@
 	loaded     bool
 	hasNewest  bool
 	failing    bool
+	silent     bool
 	verifiedAt time.Duration
 	// changed is closed and replaced by each update.
 	changed chan struct{}
@@ -97,7 +101,7 @@
 	w.update(func() {
 		w.addNewest(records)
 		w.empty(nextOffset, verifiedAt)
-		w.failing = true
+		w.failing, w.silent = true, false
 	})
 }
 
@@ -135,8 +139,11 @@
 	}
 }
 
-// markFailing records that the topic cannot be read.
-func (w *window) markFailing() { w.update(func() { w.failing = true }) }
+// markFailing records that the topic cannot be read, and whether that is because reads get no
+// response.
+func (w *window) markFailing(silent bool) {
+	w.update(func() { w.failing, w.silent = true, silent })
+}
 
 // markUnread records that the topic is not followed any more.
 func (w *window) markUnread() { w.update(func() { w.loaded = false }) }
@@ -152,7 +159,8 @@
 
 // recordsFrom returns the records from an offset on, and the time of the last
 // verified read. It waits until there are records, a newer verified read, or the
-// wait is over. While reads of the log fail it returns ErrFailing after failingGrace.
+// wait is over. While reads of the log fail it returns ErrFailing after failingGrace, or at
+// once if they get no response.
 func (w *window) recordsFrom(ctx context.Context, from int64, wait time.Duration) (Page, time.Duration, error) {
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
@@ -163,7 +171,7 @@
 		if round == 0 {
 			firstVerifiedAt = verifiedAt
 		}
-		if errors.Is(err, ErrFailing) {
+		if errors.Is(err, ErrFailing) && !errors.Is(err, errSilent) {
 			if failingLong == nil {
 				failingLong = time.After(failingGrace)
 			}
@@ -199,6 +207,8 @@
 	switch {
 	case !w.loaded:
 		return page, 0, w.changed, ErrUnread
+	case w.failing && w.silent:
+		return page, 0, w.changed, errSilent
 	case w.failing:
 		return page, 0, w.changed, ErrFailing
 	case from < w.firstOffset:
