Reserve the memory for a whole body of unknown length at once

What callers saw: nothing yet. Eight chunked bodies that came together were all refused, although two would have fit (TestLargeBodiesAreBounded, once in a run of make test; it passed before). Cause: each reserved more memory step by step, so that all of them held a part and none found room for its last step. That failed or passed by the order of their steps. Change: a body of unknown length reserves what the longest one needs when it exceeds 64 KiB, and gives the rest back when it has been read. Evidence: the test's chunked row, with bodies of which two fit, passes 20 times in a row. Why it works: whoever gets the memory can finish; the others are refused early.

--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -471,31 +471,42 @@
 const minBodyBuffer = 4 << 10
 
 // receiveBody reads the body, or one byte more than the limit. It reserves the memory for a body of
-// known length before it reads any of it, and for another one as it grows.
+// known length before it reads any of it.
 func (c *call) receiveBody(limit int64) ([]byte, error) {
-	if length := c.http.ContentLength; length >= 0 {
-		if !c.memory.Grow(length) {
-			return nil, errNoMemory
-		}
-		body := make([]byte, length)
-		_, err := io.ReadFull(c.http.Body, body)
-		return body, err
+	length := c.http.ContentLength
+	if length < 0 {
+		return c.receiveUnsizedBody(limit)
+	}
+	if !c.memory.Grow(length) {
+		return nil, errNoMemory
 	}
+	body := make([]byte, length)
+	_, err := io.ReadFull(c.http.Body, body)
+	return body, err
+}
+
+// receiveUnsizedBody reads a body of unknown length. When it is no longer small, it reserves what
+// the longest one needs while its buffer is copied to a larger one: if all bodies in progress grew
+// step by step, none of them might find room for its last step.
+func (c *call) receiveUnsizedBody(limit int64) ([]byte, error) {
 	reader := io.LimitReader(c.http.Body, limit+1)
 	var body []byte
 	for {
 		if len(body) == cap(body) {
 			size := max(minBodyBuffer, 2*cap(body))
-			// Both buffers exist while one is copied to the other.
-			if !c.memory.Grow(int64(cap(body) + size)) {
+			reserved := int64(size + cap(body))
+			if reserved > reserver.SmallBytes {
+				reserved = max(reserved, limit+limit/2)
+			}
+			if !c.memory.Grow(reserved) {
 				return nil, errNoMemory
 			}
 			body = append(make([]byte, 0, size), body...)
-			c.memory.Shrink(int64(size))
 		}
 		n, err := reader.Read(body[len(body):cap(body)])
 		body = body[:len(body)+n]
 		if errors.Is(err, io.EOF) {
+			c.memory.Shrink(int64(cap(body)))
 			return body, nil
 		}
 		if err != nil {
--- a/internal/reserver/reserver.go
+++ b/internal/reserver/reserver.go
@@ -5,8 +5,8 @@
 import "sync"
 
 const (
-	// smallBytes is the size up to which a holder counts as small.
-	smallBytes = 64 << 10
+	// SmallBytes is the size up to which a holder counts as small.
+	SmallBytes = 64 << 10
 	// largeShare is the share of the budget that holders of more may use. The rest is left
 	// for small ones, so that large or slow requests do not keep them out.
 	largeShare = 0.75
@@ -32,7 +32,7 @@
 // grow reserves more bytes for a holder that has some. It reports whether there was room.
 func (b *Budget) grow(held, more int64) bool {
 	bound := b.total
-	if held+more > smallBytes {
+	if held+more > SmallBytes {
 		bound = int64(largeShare * float64(b.total))
 	}
 	b.mu.Lock()
