Keep the notices of endpoints that leave or ask for a pause

Cause: neither header was read. Change: an endpoint that says in any response that it is leaving gets no more requests from the daemon that it told, whatever its registration says, until another process has its id. One that turns a request away with 503 and Retry-After gets none until the end of that time; a shorter pause does not end a longer one, and 10 minutes is the most. Values of another form ask for nothing and are counted. If all endpoints are paused, a request is refused at once with the shortest rest as Retry-After. Why it works: the choice of an endpoint, the only way to it, asks the notices.

--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -69,7 +69,7 @@
 		}
 		choice, ok := c.pick()
 		if !ok {
-			if wait, limited := c.Tracker.LimitWait(c.query(c.model())); limited {
+			if wait, prevented := c.Tracker.Wait(c.query(c.model())); prevented {
 				_ = last.WithRetryAfter(max(notReadyRetryAfter, wait))
 			}
 			break
@@ -219,6 +219,7 @@
 		choice.ReportLoad(info.Running, info.Waiting)
 	}
 	c.recordRateLimit(choice, info, sentAt)
+	c.recordNotices(choice, info)
 	c.attemptsReached++
 	if info.Refused {
 		return c.handleRefusal(choice, response, info)
@@ -247,6 +248,23 @@
 	}
 }
 
+// recordNotices records what the response asks this daemon for. Another endpoint at the address
+// says nothing of this one.
+func (c *call) recordNotices(choice *tracker.Choice, info ResponseInfo) {
+	if info.Misdirected {
+		return
+	}
+	if info.Leaving {
+		choice.ReportLeaving()
+	}
+	if info.Pause > 0 {
+		choice.ReportPause(info.Pause)
+	}
+	if info.InvalidNotice {
+		c.Counters.InvalidNotices.Inc()
+	}
+}
+
 // handleNoResponse handles an attempt that got no response.
 func (c *call) handleNoResponse(ctx context.Context, choice *tracker.Choice, failure *exchanger.Failure) (attemptStatus, *bufferedResponse, *classifier.Error) {
 	status, outcome, trackerOutcome := statusFailed, Incomplete, tracker.Failure
--- a/internal/forwarder/counters.go
+++ b/internal/forwarder/counters.go
@@ -23,6 +23,9 @@
 	Resumes *metrics.Counter
 	// Crashes counts the attempts that may have crashed their endpoint.
 	Crashes *metrics.Counter
+	// InvalidNotices counts the responses that may have asked for a pause or said that
+	// their endpoint is leaving, in a form that is not understood.
+	InvalidNotices *metrics.Counter
 	// Served counts the responses that were forwarded to their end.
 	Served *metrics.Counter
 	// FirstEvent measures the time from the arrival of a request to the first event
@@ -34,15 +37,16 @@
 // NewCounters registers the metrics in the set.
 func NewCounters(set *metrics.Set) *Counters {
 	return &Counters{
-		set:           set,
-		Requests:      set.NewCounter("requests_total"),
-		Attempts:      set.NewCounter("attempts_total"),
-		Retries:       set.NewCounter("repeats_total"),
-		Resumes:       set.NewCounter("resumes_total"),
-		Crashes:       set.NewCounter("crashes_total"),
-		Served:        set.NewCounter("served_total"),
-		FirstEvent:    set.NewHistogram("first_event_seconds"),
-		WholeResponse: set.NewHistogram("answer_seconds"),
+		set:            set,
+		Requests:       set.NewCounter("requests_total"),
+		Attempts:       set.NewCounter("attempts_total"),
+		Retries:        set.NewCounter("repeats_total"),
+		Resumes:        set.NewCounter("resumes_total"),
+		Crashes:        set.NewCounter("crashes_total"),
+		InvalidNotices: set.NewCounter("invalid_notices_total"),
+		Served:         set.NewCounter("served_total"),
+		FirstEvent:     set.NewHistogram("first_event_seconds"),
+		WholeResponse:  set.NewHistogram("answer_seconds"),
 	}
 }
 
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -99,6 +99,13 @@
 	Confidence int
 	// RateLimit is what the headers say of the request rate that the endpoint accepts.
 	RateLimit RateLimit
+	// Leaving is set if the endpoint is about to stop and wants no more requests.
+	Leaving bool
+	// Pause is how long the endpoint, which has turned the request away, wants no more
+	// requests from this daemon.
+	Pause time.Duration
+	// InvalidNotice is set if a header that would say one of the two is not understood.
+	InvalidNotice bool
 }
 
 // RateLimit is the request rate that an endpoint accepts from all daemons together.
--- a/internal/tracker/choice.go
+++ b/internal/tracker/choice.go
@@ -174,7 +174,7 @@
 func (t *Tracker) eligible(query Query, now time.Time) []*endpointState {
 	var endpoints []*endpointState
 	for _, endpoint := range t.endpoints {
-		if query.matches(endpoint) && t.available(endpoint, now) && t.withinLimit(endpoint, now) {
+		if query.matches(endpoint) && t.available(endpoint, now) && t.pauseLeft(endpoint, now) == 0 && t.withinLimit(endpoint, now) {
 			endpoints = append(endpoints, endpoint)
 		}
 	}
--- a/internal/tracker/limit.go
+++ b/internal/tracker/limit.go
@@ -130,9 +130,9 @@
 	return true
 }
 
-// LimitWait returns the time until the limits let this daemon send a request of the query,
-// or false if no limit prevents it for a known time.
-func (t *Tracker) LimitWait(query Query) (wait time.Duration, limited bool) {
+// Wait returns the time until the limits and pauses of endpoints let this daemon send a request
+// of the query, or false if none of them prevents it for a known time.
+func (t *Tracker) Wait(query Query) (wait time.Duration, prevented bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.now()
@@ -140,20 +140,23 @@
 		if !query.matches(endpoint) || !t.available(endpoint, now) {
 			continue
 		}
+		next := t.pauseLeft(endpoint, now)
 		limit := t.limitOf(endpoint.ID, endpoint.Started)
-		if limit == nil {
+		if limit == nil && next == 0 {
 			return 0, false
 		}
-		perSecond := float64(limit.limiter.Limit())
-		if perSecond <= 0 {
-			continue
+		if limit != nil {
+			perSecond := float64(limit.limiter.Limit())
+			if perSecond <= 0 {
+				continue
+			}
+			next = max(next, time.Duration(max(0, 1-limit.limiter.TokensAt(now))/perSecond*float64(time.Second)))
 		}
-		next := time.Duration(max(0, 1-limit.limiter.TokensAt(now)) / perSecond * float64(time.Second))
-		if !limited || next < wait {
-			wait, limited = next, true
+		if !prevented || next < wait {
+			wait, prevented = next, true
 		}
 	}
-	return wait, limited
+	return wait, prevented
 }
 
 // LimitedEndpoints returns the number of endpoints with a limit.
--- a/internal/tracker/limit_test.go
+++ b/internal/tracker/limit_test.go
@@ -99,16 +99,16 @@
 func TestAllEndpointsLimited(t *testing.T) {
 	tr, c := newTracker(t, 2)
 	tr.RecordLimit(limitOf(0, 1), c.now)
-	if _, limited := tr.LimitWait(tracker.Query{Service: "helper"}); limited {
-		t.Error("LimitWait() got a wait beside an endpoint without a limit, want none")
+	if _, limited := tr.Wait(tracker.Query{Service: "helper"}); limited {
+		t.Error("Wait() got a wait beside an endpoint without a limit, want none")
 	}
 	tr.RecordLimit(limitOf(1, 0.5), c.now)
 	if _, ok := tr.Pick(tracker.Query{Service: "helper"}); ok {
 		t.Error("Pick() got an endpoint, want none at first")
 	}
-	wait, limited := tr.LimitWait(tracker.Query{Service: "helper"})
+	wait, limited := tr.Wait(tracker.Query{Service: "helper"})
 	if !limited || wait != time.Second {
-		t.Errorf("LimitWait() got %v, %v, want 1s, true", wait, limited)
+		t.Errorf("Wait() got %v, %v, want 1s, true", wait, limited)
 	}
 	c.advance(wait)
 	if _, ok := tr.Pick(tracker.Query{Service: "helper"}); !ok {
--- a/internal/tracker/tracker.go
+++ b/internal/tracker/tracker.go
@@ -98,8 +98,10 @@
 	meanDurations map[string]time.Duration
 	// limits holds the limits of endpoints by their id. share returns this daemon's share
 	// of a limit.
-	limits    map[string]*limitState
-	share     func(endpoint string, perSecond float64) float64
+	limits map[string]*limitState
+	share  func(endpoint string, perSecond float64) float64
+	// notices holds what endpoints have asked for in their responses, by their id.
+	notices   map[string]*notice
 	zone      string
 	random    *rand.Rand
 	now       func() time.Time
@@ -117,6 +119,7 @@
 		prefillMsPerToken: map[string]float64{},
 		meanDurations:     map[string]time.Duration{},
 		limits:            map[string]*limitState{},
+		notices:           map[string]*notice{},
 		share:             func(_ string, perSecond float64) float64 { return perSecond },
 		zone:              zone,
 		random:            random,
@@ -216,7 +219,7 @@
 // available reports whether the endpoint may get work. It removes an endpoint
 // whose grace period is over.
 func (t *Tracker) available(endpoint *endpointState, now time.Time) bool {
-	if endpoint.Draining || endpoint.misdirected {
+	if endpoint.Draining || endpoint.misdirected || t.leaving(endpoint) {
 		return false
 	}
 	if !endpoint.removeAt.IsZero() && now.After(endpoint.removeAt) {
@@ -227,12 +230,12 @@
 	return true
 }
 
-// Serving reports whether an endpoint is registered and not draining.
+// Serving reports whether an endpoint is registered, not draining and not leaving.
 func (t *Tracker) Serving(id string) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	endpoint := t.endpoints[id]
-	return endpoint != nil && !endpoint.Draining
+	return endpoint != nil && !endpoint.Draining && !t.leaving(endpoint)
 }
 
 // zoneBlocked reports whether the zone is another one that gets no requests now
