End a waiting read only when the one behind it gets no response

A second read that the log refuses (429, 503) ended the waiting one, which would have got its response, and more reads followed while the log was short of capacity. A silent path that the kernel notices first, after the same 0.7 s, did not count as silent. Cause: each failure was taken for silence in one place, and only one kind of time-out in the other. Change: both ask for a time-out of any kind. Evidence: TestSilentReadIsEnded, row "second read is refused", fails before; TestDrainBehindFailedReader, TestDrainAfterSilentLog and TestCallsOfLargeZone pass. Why it works: a refusal shows that the path to the log works.

--- a/internal/subscriber/subscriber.go
+++ b/internal/subscriber/subscriber.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"net"
 	"sync"
 	"time"
 
@@ -378,7 +379,7 @@
 }
 
 // readConfirmed makes a read that waits, and a second one that does not while the first one
-// waits. If the second one has records or fails, it ends the first one, by cancel.
+// waits. If the second one has records or gets no response, it ends the first one, by cancel.
 func (s *Subscriber) readConfirmed(ctx context.Context, cancel context.CancelFunc, wait time.Duration) (page Page, waited bool, err error) {
 	done := make(chan struct{})
 	go func() {
@@ -394,14 +395,16 @@
 	}
 	confirmSentAt := s.clock()
 	confirmed, confirmErr := s.confirm(ctx)
-	if confirmErr != nil || len(confirmed.Records) > 0 {
+	if isSilence(confirmErr) || len(confirmed.Records) > 0 {
 		cancel()
 		<-done
 		return confirmed, false, confirmErr
 	}
-	// The waiting read counts only from its own start, so other daemons would take
-	// this one for outdated during a long wait.
-	s.applyPage(confirmed, confirmSentAt)
+	if confirmErr == nil {
+		// The waiting read counts only from its own start, so other daemons would take
+		// this one for outdated during a long wait.
+		s.applyPage(confirmed, confirmSentAt)
+	}
 	<-done
 	return page, true, err
 }
@@ -503,7 +506,7 @@
 // recordResult records the result of a read. It logs when reads begin to fail
 // and when they succeed again.
 func (s *Subscriber) recordResult(err error) {
-	if s.updateFailing(err) && errors.Is(err, context.DeadlineExceeded) && s.onSilence != nil {
+	if s.updateFailing(err) && isSilence(err) && !errors.Is(err, errInterrupted) && s.onSilence != nil {
 		s.onSilence()
 	}
 }
@@ -532,7 +535,8 @@
 // isSilence reports whether a read failed because no response came, so that the next one may
 // also take long to fail.
 func isSilence(err error) bool {
-	return errors.Is(err, context.DeadlineExceeded) || errors.Is(err, errInterrupted)
+	timeout, ok := errors.Into[net.Error](err)
+	return ok && timeout.Timeout() || errors.Is(err, errInterrupted)
 }
 
 // VerifiedAge returns the time since the last verified read. It returns false if
--- a/internal/subscriber/subscriber_test.go
+++ b/internal/subscriber/subscriber_test.go
@@ -136,14 +136,18 @@
 	rows := map[string]struct {
 		confirmAfter time.Duration
 		interrupt    bool
+		// confirmErr is the error of the second read, or nil if it gets no response.
+		confirmErr error
 		// maxTime bounds the time from the silent read to the next one.
 		maxTime time.Duration
 		// wantSilences is the number of calls of the handler of silence.
 		wantSilences int
 	}{
-		"interrupted":              {0, true, 1100 * time.Millisecond, 0},
-		"second read gets silence": {60 * time.Millisecond, false, 900 * time.Millisecond, 1},
-		"not ended":                {0, false, 11 * time.Second, 1},
+		"interrupted":              {0, true, nil, 1100 * time.Millisecond, 0},
+		"second read gets silence": {60 * time.Millisecond, false, nil, 900 * time.Millisecond, 1},
+		// The path to the log works, so the first read may get its response too.
+		"second read is refused": {60 * time.Millisecond, false, errUnavailable, 11 * time.Second, 1},
+		"not ended":              {0, false, nil, 11 * time.Second, 1},
 	}
 	for name, row := range rows {
 		t.Run(name, func(t *testing.T) {
@@ -160,6 +164,8 @@
 						return longPoll(ctx, from, wait)
 					case !nextAt.IsZero():
 						return longPoll(ctx, from, wait)
+					case row.confirmErr != nil:
+						return subscriber.Page{}, row.confirmErr
 					}
 					<-ctx.Done()
 					return subscriber.Page{}, ctx.Err()
@@ -180,7 +186,7 @@
 				if err := <-done; !errors.Is(err, context.Canceled) {
 					t.Errorf("Run() got error %v, want that of ctx", err)
 				}
-				if took := nextAt.Sub(silentSince); took > row.maxTime || nextWait != 0 {
+				if took := nextAt.Sub(silentSince); took > row.maxTime || took < row.maxTime/2 || nextWait != 0 {
 					t.Errorf("next read came after %v with a wait of %v, want at most %v and no wait", took, nextWait, row.maxTime)
 				}
 				if silences != row.wantSilences {
