--- a/internal/forwarder/stream.go
+++ b/internal/forwarder/stream.go
@@ -61,7 +61,7 @@
 // resumed stream: the earlier attempt broke after its last event had been
 // forwarded.
 func (c *call) resumedAtEnd(response *exchanger.Response) bool {
-	return c.responseStarted && response.SelfDelimited()
+	return c.responseStarted && c.lastEventID != "" && response.SelfDelimited()
 }
 
 // writeEvents writes complete events to the client, preceded by the response
@@ -88,7 +88,7 @@
 	c.log("endpoint's stream is truncated, aborted or corrupt", c.endpointFields(choice, "error", err, "events", events.count, "after", c.lastEventID)...)
 	c.Counters.Resumes.Inc()
 	status := statusFailed
-	if c.responseStarted && c.lastEventID == "" {
+	if events.count > 0 && events.last == "" {
 		status = statusAborted
 	}
 	return status, nil, classifier.Wrap(classifier.EndpointFailed, err, "the stream of endpoint %s is truncated, aborted or corrupt", choice.ID)
--- a/internal/runner/stop.go
+++ b/internal/runner/stop.go
@@ -61,24 +61,25 @@
 	sleepUntil(ctx, times.unlistedAt)
 	_ = r.listeners.clients.Close()
 	r.clientServer.SetKeepAlivesEnabled(false)
-	if !r.awaitRequests(ctx, times) {
+	if !r.awaitRequests(ctx, times.unlistedAt, times.requestsEndAt) {
 		active, _ := r.connections.counts()
 		r.logger.Warn("requests still running at the end of the stop grace", "connections", active)
 		r.endRequests(forwarder.ErrStopping)
-		r.awaitRequests(ctx, &stopTimes{unlistedAt: times.unlistedAt, requestsEndAt: times.closedAt})
+		r.awaitRequests(ctx, times.unlistedAt, times.closedAt)
 	}
 }
 
 // awaitRequests waits until no connection has a request and those without one had time to
-// send it, or until requests must end. It reports whether no request is left.
-func (r *Runner) awaitRequests(ctx context.Context, times *stopTimes) bool {
+// send it since the load balancer stopped to send connections, but not longer than the end. It
+// reports whether no request is left.
+func (r *Runner) awaitRequests(ctx context.Context, unlistedAt, end time.Time) bool {
 	for {
 		active, fresh := r.connections.counts()
 		now := time.Now()
-		if active == 0 && (fresh == 0 || now.Sub(times.unlistedAt) > newConnectionWait) {
+		if active == 0 && (fresh == 0 || now.Sub(unlistedAt) > newConnectionWait) {
 			return true
 		}
-		if !now.Before(times.requestsEndAt) || ctx.Err() != nil {
+		if !now.Before(end) || ctx.Err() != nil {
 			return active == 0
 		}
 		sleepUntil(ctx, now.Add(stopPollInterval))
--- a/internal/tracker/notice.go
+++ b/internal/tracker/notice.go
@@ -72,6 +72,9 @@
 
 // noticeOf returns the notice of an endpoint's incarnation, or nil if there is none.
 func (t *Tracker) noticeOf(endpoint *endpointState) *notice {
+	if len(t.notices) == 0 {
+		return nil
+	}
 	current := t.notices[endpoint.ID]
 	if current == nil || !current.started.Equal(endpoint.Started) {
 		return nil
