Do not take the end of a killed endpoint's connection for the end of its response

Cause: the operating system ends the connections of a killed process as at the end of such a response, and the daemon looked at nothing but the connection. Change: at the end of such a response the daemon opens another connection to the endpoint. If that is refused, or closed at once and then refused, the response counts as broken off. Why it works: a sound endpoint accepts and keeps a connection.

--- a/internal/exchanger/exchanger.go
+++ b/internal/exchanger/exchanger.go
@@ -12,6 +12,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"os"
 	"strconv"
 	"strings"
 	"sync"
@@ -212,8 +213,13 @@
 	return &Failure{Stage: Sent, Err: err}
 }
 
-// refusalTimeout bounds the check whether an address refuses connections.
-const refusalTimeout = 100 * time.Millisecond
+const (
+	// refusalTimeout bounds the check whether an address refuses connections.
+	refusalTimeout = 100 * time.Millisecond
+	// exitTime is within which the operating system closes all connections and listeners of a
+	// process that has ended. It closes them one by one, in any order.
+	exitTime = 30 * time.Millisecond
+)
 
 // Refuses reports whether the address refuses a new connection, so that no process
 // listens there. It does not if nothing responds.
@@ -228,6 +234,39 @@
 	return errors.Is(err, syscall.ECONNREFUSED)
 }
 
+// hasExited reports whether the process at the address, which has just closed a connection, has
+// ended. A new connection that is closed at once may also be one too many for a process that is
+// running.
+func (e *Exchanger) hasExited(ctx context.Context, address netip.AddrPort) bool {
+	ctx, cancel := context.WithTimeout(ctx, refusalTimeout)
+	defer cancel()
+	netConn, err := e.network.Dial(ctx, address)
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		return true
+	}
+	if err == nil {
+		defer func() { _ = netConn.Close() }()
+		if staysOpen(netConn) {
+			return false
+		}
+	}
+	select {
+	case <-time.After(exitTime):
+	case <-ctx.Done():
+		return false
+	}
+	return e.Refuses(ctx, address)
+}
+
+// staysOpen reports whether a new connection is still open after exitTime.
+func staysOpen(connection net.Conn) bool {
+	if err := connection.SetReadDeadline(time.Now().Add(exitTime)); err != nil {
+		return false
+	}
+	_, err := connection.Read(make([]byte, 1))
+	return errors.Is(err, os.ErrDeadlineExceeded)
+}
+
 // connect returns an idle connection that is still open, or a new one. For a request that
 // must not run twice, it returns a new one if a response at the address may have no id.
 func (e *Exchanger) connect(ctx context.Context, address netip.AddrPort, once bool) (*conn, error) {
@@ -382,6 +421,16 @@
 // any other body cannot be told from a broken connection.
 func (r *Response) SelfDelimited() bool { return !closeDelimited(r.httpResponse) }
 
+// CheckEnd returns an error if the body, which has been read to its end, may have been broken off:
+// it ended only with the connection, and no process listens at the endpoint's address any more.
+// The connections of a process that is killed end in the same way.
+func (r *Response) CheckEnd(ctx context.Context) error {
+	if r.SelfDelimited() || !r.exchanger.hasExited(ctx, r.address) {
+		return nil
+	}
+	return errors.New("connection ended together with the endpoint")
+}
+
 // Close ends the exchange. The connection is closed if the body was not read to its end, or
 // if the response has no id: a second copy of it could not be told from the response to the
 // next request.
--- a/internal/forwarder/stream.go
+++ b/internal/forwarder/stream.go
@@ -43,7 +43,13 @@
 			}
 		}
 	}
-	if errors.Is(err, io.EOF) && events.incomplete() == 0 && (events.count > 0 || c.resumedAtEnd(response)) {
+	isEnd := errors.Is(err, io.EOF)
+	if isEnd {
+		if endErr := response.CheckEnd(ctx); endErr != nil {
+			isEnd, err = false, endErr
+		}
+	}
+	if isEnd && events.incomplete() == 0 && (events.count > 0 || c.resumedAtEnd(response)) {
 		if !recorded && events.count > 0 {
 			c.recordServed(startedAt)
 		}
--- a/internal/forwarder/whole.go
+++ b/internal/forwarder/whole.go
@@ -36,6 +36,9 @@
 	if err == nil {
 		err = checkResponse(response.Status, info)
 	}
+	if err == nil && len(body) <= maxBufferedBytes {
+		err = response.CheckEnd(ctx)
+	}
 	deniesRun := classifier.DeniesRun(response.Status)
 	isError := response.Status >= http.StatusInternalServerError || deniesRun
 	if err == nil && len(body) > maxBufferedBytes {
@@ -111,7 +114,10 @@
 		choice.End(tracker.Neutral, 0)
 		return statusAborted, nil, classifier.Wrap(classifier.ClientDisconnected, writeErr, "failed to write to the client")
 	}
-	if !errors.Is(err, io.EOF) {
+	if errors.Is(err, io.EOF) {
+		err = response.CheckEnd(ctx)
+	}
+	if err != nil {
 		return statusAborted, nil, c.handleBadResponse(ctx, choice, response, err)
 	}
 	c.recordResult(choice, Completed, c.ttft, 0)
