Run no request of a connection that a stopping daemon has closed

Cause: net/http closes connections that count as idle until the request that it has read from them is served, and serves it all the same unless the server is in its own shutdown, which the new stop does not use. Change: the daemon closes unused connections itself, under the lock in which it keeps their states, and a request of a closed connection is not run. Why it works: a connection is either closed before its request is served, or counts as in use.

--- a/internal/runner/listen.go
+++ b/internal/runner/listen.go
@@ -71,7 +71,7 @@
 	ctx, r.endRequests = context.WithCancelCause(ctx)
 	server := r.newServer(r.forwarder)
 	server.BaseContext = func(net.Listener) context.Context { return ctx }
-	server.ConnState = r.connections.setState
+	r.connections.serveOn(server)
 	return server
 }
 
--- a/internal/runner/stop.go
+++ b/internal/runner/stop.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"net"
-	"net/http"
 	"sync"
 	"time"
 
@@ -60,23 +58,24 @@
 	defer announced.Wait()
 	sleepUntil(ctx, times.unlistedAt)
 	_ = r.listeners.clients.Close()
-	r.clientServer.SetKeepAlivesEnabled(false)
 	if !r.awaitRequests(ctx, times.unlistedAt, times.requestsEndAt) {
-		active, _ := r.connections.counts()
-		r.logger.Warn("requests still running at the end of the stop grace", "connections", active)
+		r.logger.Warn("requests still running at the end of the stop grace")
 		r.endRequests(forwarder.ErrStopping)
 		r.awaitRequests(ctx, times.unlistedAt, times.closedAt)
 	}
 }
 
-// awaitRequests waits until no connection has a request and those without one had time to
-// send it since the load balancer stopped to send connections, but not longer than the end. It
-// reports whether no request is left.
+// awaitRequests closes idle connections and waits until no other one has a request and those
+// without one had time to send it since the load balancer stopped to send connections, but not
+// longer than the end. It reports whether no request is left.
 func (r *Runner) awaitRequests(ctx context.Context, unlistedAt, end time.Time) bool {
 	for {
-		active, fresh := r.connections.counts()
 		now := time.Now()
+		active, fresh := r.connections.close(false)
 		if active == 0 && (fresh == 0 || now.Sub(unlistedAt) > newConnectionWait) {
+			active, _ = r.connections.close(true)
+		}
+		if active == 0 && fresh == 0 {
 			return true
 		}
 		if !now.Before(end) || ctx.Err() != nil {
@@ -93,38 +92,3 @@
 	case <-ctx.Done():
 	}
 }
-
-// connections counts the clients' connections by state. It is safe for concurrent use.
-type connections struct {
-	mu     sync.Mutex
-	states map[net.Conn]http.ConnState
-}
-
-func newConnections() *connections { return &connections{states: map[net.Conn]http.ConnState{}} }
-
-// setState records the state of a connection, as http.Server.ConnState does.
-func (c *connections) setState(connection net.Conn, state http.ConnState) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if state == http.StateClosed || state == http.StateHijacked {
-		delete(c.states, connection)
-		return
-	}
-	c.states[connection] = state
-}
-
-// counts returns the number of connections with a request, and of those that have not had
-// one.
-func (c *connections) counts() (active, fresh int) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	for _, state := range c.states {
-		switch state {
-		case http.StateActive:
-			active++
-		case http.StateNew:
-			fresh++
-		}
-	}
-	return active, fresh
-}
