Send the second request of a test when its connection is idle

What was seen: TestRequestOfClosedConnectionDoesNotRun, row "second request", failed once in 500 runs with "served requests got 2, want 1", and passed once without the check that it guards. Cause: the test sent the second request while the server was still ending the first one, so the connection was in use and was rightly not closed. Change: the test waits until the server reports the connection as idle. The checks are as before.

--- a/internal/runner/connections_test.go
+++ b/internal/runner/connections_test.go
@@ -70,6 +70,14 @@
 			var served atomic.Int64
 			server := &http.Server{Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) { served.Add(1) })}
 			open.serveOn(server)
+			setState := server.ConnState
+			idle := make(chan struct{}, 2)
+			server.ConnState = func(connection net.Conn, state http.ConnState) {
+				setState(connection, state)
+				if state == http.StateIdle {
+					idle <- struct{}{}
+				}
+			}
 			near, far := net.Pipe()
 			requests := 0
 			hooked := &hookedConn{Conn: far, afterRead: func() {
@@ -91,6 +99,8 @@
 					break
 				}
 				_ = response.Body.Close()
+				// The next request must find the connection idle, not still in use by this one.
+				<-idle
 			}
 			_ = near.Close()
 			_ = server.Close()
