Check that a request is still permitted before its first byte is sent

Cause: opening a connection takes up to 300 ms. A request whose endpoint was drained, removed or replaced meanwhile was sent all the same, and an evacuation would meet the same gap. Change: exchanger.Request.Permitted is called when the connection is there and before the first byte; false ends the exchange as Unsent with ErrNotPermitted. tracker.Choice.Permitted is false once the endpoint may not get work any more. The forwarder then chooses another endpoint: no attempt, no retry budget and no failure of the endpoint is counted.

--- a/internal/exchanger/exchanger.go
+++ b/internal/exchanger/exchanger.go
@@ -60,8 +60,16 @@
 	// Once is set if the request must not run twice. It is then sent on a new connection
 	// to an endpoint that sends responses without an id.
 	Once bool
+	// Permitted reports whether the request may still be sent. It is called when the
+	// connection is open, which may take a while, and before the first byte is written. A
+	// nil function permits all.
+	Permitted func() bool
 }
 
+// ErrNotPermitted is the error of an exchange whose request was not sent because its function
+// Permitted returned false. It says nothing against the endpoint.
+var ErrNotPermitted = errors.New("the request may not be sent to the endpoint any more")
+
 // Match is what a response says of the request that it belongs to.
 type Match int
 
@@ -177,6 +185,10 @@
 	if err != nil {
 		return nil, &Failure{Stage: Unsent, Err: err}
 	}
+	if request.Permitted != nil && !request.Permitted() {
+		_ = connection.Close()
+		return nil, &Failure{Stage: Unsent, Err: ErrNotPermitted}
+	}
 	stopWatch := context.AfterFunc(ctx, func() { _ = connection.Close() })
 	written, err := connection.write(request)
 	if err != nil {
--- a/internal/exchanger/exchanger_test.go
+++ b/internal/exchanger/exchanger_test.go
@@ -11,6 +11,8 @@
 	"testing"
 	"time"
 
+	"github.com/go-faster/errors"
+
 	"quetzalgrade.example/quetzalgrade/internal/connector"
 	"quetzalgrade.example/quetzalgrade/internal/exchanger"
 )
@@ -187,6 +189,34 @@
 	}
 }
 
+// TestNotPermitted guards against a request that reaches an endpoint which may not get it any more
+// since the connection was requested.
+func TestNotPermitted(t *testing.T) {
+	for name, permitted := range map[string]bool{"permitted": true, "not permitted": false} {
+		t.Run(name, func(t *testing.T) {
+			received := make(chan int, 1)
+			opened := make(chan struct{})
+			address := listen(t, func(connection net.Conn, _ int) {
+				close(opened)
+				n, _ := connection.Read(make([]byte, 1))
+				received <- n
+				_ = connection.Close()
+			})
+			e := exchanger.New(connector.TCP{}, anyResponse)
+			_, failure := e.Do(t.Context(), address, &exchanger.Request{Method: "GET", Target: "/x", Host: "h", Header: http.Header{}, Permitted: func() bool {
+				<-opened
+				return permitted
+			}})
+			if got := <-received; (got > 0) != permitted {
+				t.Errorf("bytes at the endpoint got %d, want some: %t", got, permitted)
+			}
+			if got := errors.Is(failure, exchanger.ErrNotPermitted) && failure.Stage == exchanger.Unsent; got == permitted {
+				t.Errorf("Do() got %v of stage %d, want ErrNotPermitted: %t", failure, failure.Stage, !permitted)
+			}
+		})
+	}
+}
+
 // TestResponseThatEndsWithConnection guards against a response without a length that was
 // reset on the way and counts as complete, and against one that is complete and counts as
 // broken.
--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -44,6 +44,9 @@
 	// statusDiscarded means that the response was discarded because the request
 	// escalates to a larger model.
 	statusDiscarded
+	// statusNotPermitted means that the endpoint has not been sent the request because it
+	// may not get requests any more. It does not count as an attempt.
+	statusNotPermitted
 )
 
 // run attempts the request at one endpoint after another until a response has
@@ -91,6 +94,9 @@
 		if ctx.Err() != nil || !c.mayRetry(status) {
 			break
 		}
+		if status == statusNotPermitted {
+			attempts--
+		}
 	}
 	if buffered != nil && !c.responseStarted {
 		c.writeResponse(buffered)
@@ -101,7 +107,8 @@
 
 // mayRetry reports whether the request may be sent to another endpoint.
 func (c *call) mayRetry(status attemptStatus) bool {
-	if status == statusNotExecuted || status == statusDiscarded {
+	switch status {
+	case statusNotExecuted, statusDiscarded, statusNotPermitted:
 		return true
 	}
 	return status == statusFailed && c.route.Retryable() && c.possibleRuns < c.route.MaxRuns && !c.mayCrash
@@ -206,7 +213,12 @@
 		Header: c.Codec.EndpointHeader(c.http.Header, attempt),
 		Body:   c.body,
 		Once:   !c.route.Retryable(),
+		// The endpoint may be drained or evacuated while the connection is opened.
+		Permitted: choice.Permitted,
 	})
+	if failure != nil && errors.Is(failure, exchanger.ErrNotPermitted) {
+		return c.handleNotPermitted(choice)
+	}
 	if failure != nil {
 		return c.handleNoResponse(ctx, choice, failure)
 	}
@@ -265,6 +277,16 @@
 	}
 }
 
+// handleNotPermitted handles an endpoint that may not get requests any more since it was chosen.
+// What the attempt took from the retry budget is left to the next one.
+func (c *call) handleNotPermitted(choice *tracker.Choice) (attemptStatus, *bufferedResponse, *classifier.Error) {
+	choice.End(tracker.Neutral, 0)
+	c.tried = c.tried[:len(c.tried)-1]
+	c.retryPaid = true
+	c.log("endpoint may not get requests any more", c.endpointFields(choice)...)
+	return statusNotPermitted, nil, nil
+}
+
 // handleNoResponse handles an attempt that got no response.
 func (c *call) handleNoResponse(ctx context.Context, choice *tracker.Choice, failure *exchanger.Failure) (attemptStatus, *bufferedResponse, *classifier.Error) {
 	status, outcome, trackerOutcome := statusFailed, Incomplete, tracker.Failure
