Exclude the endpoints of evacuated zones from each choice

Cause: the tracker knew no reason to avoid a whole zone, so nothing could be evacuated. Change: Tracker.SetEvacuated names the zones; available, and with it Pick, Wait, EstimateTTFT, Permitted and the counts that rollouts plan with, leave out their endpoints, and countEndpoints (the cap on ejections) does so too. AllVersionCounts goes on counting them, so a service keeps its version. A rollout's first count of the old endpoints includes them, because the zone may come back.

--- a/internal/runner/progress.go
+++ b/internal/runner/progress.go
@@ -99,14 +99,10 @@
 // progressWrite returns a write of the rollout's next state, or nil if the state
 // does not change or its write is not due.
 func (m *rolloutManager) progressWrite(rollout *rolloutState, now time.Duration) func(context.Context) error {
-	versions := m.tracker.VersionCounts(rollout.order.Service)
-	newEndpoints := versions[rollout.order.Target]
-	oldEndpoints := -newEndpoints
-	for _, count := range versions {
-		oldEndpoints += count
-	}
+	newEndpoints, oldEndpoints := countByTarget(m.tracker.VersionCounts(rollout.order.Service), rollout.order.Target)
 	if rollout.initialOldEndpoints == 0 {
-		rollout.initialOldEndpoints = oldEndpoints
+		// An evacuated zone may come back during the rollout.
+		_, rollout.initialOldEndpoints = countByTarget(m.tracker.AllVersionCounts()[rollout.order.Service], rollout.order.Target)
 	}
 	if _, verified := m.statusTopic.VerifiedAge(); !verified {
 		// The states that other daemons have written are not known yet.
@@ -155,6 +151,18 @@
 	return m.statusWrite(status)
 }
 
+// countByTarget returns the numbers of endpoints of the target version and of all others.
+func countByTarget(versions map[string]int, target string) (newEndpoints, oldEndpoints int) {
+	for version, count := range versions {
+		if version == target {
+			newEndpoints = count
+		} else {
+			oldEndpoints += count
+		}
+	}
+	return newEndpoints, oldEndpoints
+}
+
 // writeDelay returns how long this daemon waits before it writes a state. The zone
 // readers see a change first and write first, so that the other daemons, of which there
 // are many, rarely make a conflicting write.
--- a/internal/tracker/evacuation.go
+++ b/internal/tracker/evacuation.go
@@ -1,7 +1,30 @@
 package tracker
 
+import "maps"
+
+// SetEvacuated sets the availability zones whose endpoints get no requests, in place of the
+// zones before. What runs there may end.
+func (t *Tracker) SetEvacuated(zones map[string]bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.evacuated = maps.Clone(zones)
+}
+
+// CountInZone returns the number of registered endpoints of an availability zone.
+func (t *Tracker) CountInZone(zone string) int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	count := 0
+	for _, endpoint := range t.endpoints {
+		if endpoint.Zone == zone {
+			count++
+		}
+	}
+	return count
+}
+
 // Permitted reports whether the endpoint may still get the request for which it was chosen. It
-// may since have been drained, removed, restarted or given another address.
+// may since have been drained, evacuated, removed, restarted or given another address.
 func (c *Choice) Permitted() bool {
 	t := c.tracker
 	t.mu.Lock()
--- a/internal/tracker/tracker.go
+++ b/internal/tracker/tracker.go
@@ -101,7 +101,9 @@
 	limits map[string]*limitState
 	share  func(endpoint string, perSecond float64) float64
 	// notices holds what endpoints have asked for in their responses, by their id.
-	notices   map[string]*notice
+	notices map[string]*notice
+	// evacuated holds the availability zones whose endpoints get no requests.
+	evacuated map[string]bool
 	zone      string
 	random    *rand.Rand
 	now       func() time.Time
@@ -219,6 +221,12 @@
 // available reports whether the endpoint may get work. It removes an endpoint
 // whose grace period is over.
 func (t *Tracker) available(endpoint *endpointState, now time.Time) bool {
+	return t.inService(endpoint, now) && !t.evacuated[endpoint.Zone]
+}
+
+// inService reports whether the endpoint may get work unless its zone is evacuated. It removes
+// an endpoint whose grace period is over.
+func (t *Tracker) inService(endpoint *endpointState, now time.Time) bool {
 	if endpoint.Draining || endpoint.misdirected || t.leaving(endpoint) {
 		return false
 	}
@@ -253,26 +261,34 @@
 	return zoneState
 }
 
-// countEndpoints returns the number of a service's endpoints that do not drain.
+// countEndpoints returns the number of a service's endpoints that neither drain nor are evacuated.
 func (t *Tracker) countEndpoints(service string) int {
 	count := 0
 	for _, endpoint := range t.endpoints {
-		if endpoint.Service == service && !endpoint.Draining {
+		if endpoint.Service == service && !endpoint.Draining && !t.evacuated[endpoint.Zone] {
 			count++
 		}
 	}
 	return count
 }
 
-// AllVersionCounts returns for each service the number of available endpoints by
-// version.
-func (t *Tracker) AllVersionCounts() map[string]map[string]int {
+// AllVersionCounts returns for each service the number of endpoints in service by
+// version, including those of evacuated zones.
+func (t *Tracker) AllVersionCounts() map[string]map[string]int { return t.countVersions(t.inService) }
+
+// VersionCounts returns the number of a service's available endpoints by version.
+func (t *Tracker) VersionCounts(service string) map[string]int {
+	return t.countVersions(t.available)[service]
+}
+
+// countVersions returns for each service the number of included endpoints by version.
+func (t *Tracker) countVersions(include func(*endpointState, time.Time) bool) map[string]map[string]int {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.now()
 	services := map[string]map[string]int{}
 	for _, endpoint := range t.endpoints {
-		if !t.available(endpoint, now) {
+		if !include(endpoint, now) {
 			continue
 		}
 		if services[endpoint.Service] == nil {
@@ -283,9 +299,6 @@
 	return services
 }
 
-// VersionCounts returns the number of a service's available endpoints by version.
-func (t *Tracker) VersionCounts(service string) map[string]int { return t.AllVersionCounts()[service] }
-
 // Counts returns the number of registered endpoints and the number of ejections
 // since the tracker was created.
 func (t *Tracker) Counts() (endpoints int, ejections uint64) {
