Evacuate an availability zone by a record of the operators' topic

Evacuations are applied before the declaration of the same read, so a daemon that starts sends nothing there. A record without a zone, or of a zone without endpoints and daemons, is logged and counted.

--- /dev/null
+++ b/internal/runner/evacuations.go
@@ -0,0 +1,116 @@
+package runner
+
+import (
+	"maps"
+
+	"quetzalgrade.example/quetzalgrade/internal/subscriber"
+)
+
+// evacuationChange is what a change of the operators' topic says about evacuations.
+type evacuationChange struct {
+	// complete is set if every zone that is not in records has returned.
+	complete bool
+	records  []evacuationRecord
+	// next is the offset up to which the change reaches.
+	next int64
+}
+
+// evacuationRecord evacuates a zone, or withdraws its evacuation.
+type evacuationRecord struct {
+	zone      string
+	evacuated bool
+	offset    int64
+}
+
+// newEvacuationChange returns what a change of the operators' topic with the records says about
+// evacuations.
+func newEvacuationChange(change subscriber.Change, records []operatorRecord) evacuationChange {
+	evacuation := evacuationChange{complete: change.Complete, next: change.Next}
+	for _, record := range records {
+		switch {
+		case record.EvacuatedZone != "":
+			evacuation.records = append(evacuation.records, evacuationRecord{record.EvacuatedZone, true, record.offset})
+		case record.ReturnedZone != "":
+			evacuation.records = append(evacuation.records, evacuationRecord{record.ReturnedZone, false, record.offset})
+		}
+	}
+	return evacuation
+}
+
+// evacuations are the evacuated zones according to the newest records, in whatever order the
+// changes arrive.
+type evacuations struct {
+	// zones holds the offset of the record by which each zone is evacuated.
+	zones map[string]int64
+	// next is the highest offset up to which a change reached.
+	next int64
+}
+
+func newEvacuations() evacuations { return evacuations{zones: map[string]int64{}} }
+
+// apply applies a change. It ignores what is older than an earlier change.
+func (e *evacuations) apply(change evacuationChange) {
+	applied := e.next
+	e.next = max(e.next, change.next)
+	if change.complete && change.next >= applied {
+		maps.DeleteFunc(e.zones, func(_ string, offset int64) bool { return offset < change.next })
+		applied = 0
+	}
+	for _, record := range change.records {
+		current, found := e.zones[record.zone]
+		switch {
+		case record.offset < applied || found && record.offset < current:
+		case record.evacuated:
+			e.zones[record.zone] = record.offset
+		default:
+			delete(e.zones, record.zone)
+		}
+	}
+}
+
+// applyEvacuations applies a change of the evacuated zones to the tracker, and logs it.
+func (r *Runner) applyEvacuations(change evacuationChange) {
+	if !change.complete && len(change.records) == 0 {
+		return
+	}
+	before := r.operatorState.Snapshot().evacuated
+	r.updateOperatorState(func(state *operatorState) {
+		state.evacuations.apply(change)
+		state.changed = true
+	})
+	after := r.operatorState.Snapshot().evacuated
+	if maps.Equal(before, after) {
+		return
+	}
+	zones := map[string]bool{}
+	for zone := range after {
+		zones[zone] = true
+	}
+	r.tracker.SetEvacuated(zones)
+	for zone, offset := range after {
+		if _, found := before[zone]; !found {
+			r.logger.Info("zone evacuated", "zone", zone, "endpoints", r.tracker.CountInZone(zone), "offset", offset)
+		}
+	}
+	for zone := range before {
+		if !zones[zone] {
+			r.logger.Info("evacuation of zone withdrawn", "zone", zone, "endpoints", r.tracker.CountInZone(zone))
+		}
+	}
+}
+
+// checkEvacuations logs and counts, once, each evacuated zone in which no endpoint and no daemon
+// is known: its name may be misspelt. It does nothing until the endpoints have been read.
+func (r *Runner) checkEvacuations() {
+	if _, verified := r.endpointTopic.VerifiedAge(); !verified {
+		return
+	}
+	zones := r.operatorState.Snapshot().evacuated
+	for zone := range zones {
+		if _, checked := r.checkedZones[zone]; !checked && r.tracker.CountInZone(zone) == 0 && !r.peers.knowsZone(zone) {
+			r.ignoredRecords.Inc()
+			r.logger.Warn("evacuated zone has no endpoint and no daemon", "zone", zone, "offset", zones[zone])
+		}
+	}
+	r.checkedZones = zones
+}
--- a/internal/runner/follow.go
+++ b/internal/runner/follow.go
@@ -9,21 +9,25 @@
 	"quetzalgrade.example/quetzalgrade/internal/subscriber"
 )
 
-// applyOperatorRecords applies declarations, rollout orders and their withdrawal
+// operatorRecord is a decoded record of the operators' topic.
+type operatorRecord struct {
+	OperatorRecord
+	offset int64
+}
+
+// applyOperatorRecords applies declarations, rollout orders, evacuations and their withdrawal
 // from the operators' topic. It logs and skips an invalid record.
 func (r *Runner) applyOperatorRecords(change subscriber.Change) {
-	for _, record := range change.Records {
-		decoded, err := r.deps.Translator.DecodeOperatorRecord(record)
-		if err != nil {
-			r.logger.Error("invalid record in the operators' topic", "key", record.Key, "offset", record.Offset, "error", err)
-			continue
-		}
+	records := r.decodeOperatorRecords(change.Records)
+	// Evacuations come first, because the daemon serves requests from its first declaration on.
+	r.applyEvacuations(newEvacuationChange(change, records))
+	for _, decoded := range records {
 		switch {
 		case decoded.Declaration != nil:
-			r.applyDeclaration(*decoded.Declaration, record.Offset)
+			r.applyDeclaration(*decoded.Declaration, decoded.offset)
 		case decoded.Order != nil:
 			order := *decoded.Order
-			r.logger.Info("rollout ordered", "service", order.Service, "target", order.Target, "duration", noter.FormatDuration(order.Duration), "offset", record.Offset)
+			r.logger.Info("rollout ordered", "service", order.Service, "target", order.Target, "duration", noter.FormatDuration(order.Duration), "offset", decoded.offset)
 			r.updateOperatorState(func(state *operatorState) { state.setOrder(order) })
 			r.rollouts.addOrder(order)
 		case decoded.WithdrawnService != "":
@@ -33,6 +37,22 @@
 	}
 }
 
+// decodeOperatorRecords decodes records of the operators' topic. It logs, counts and leaves out
+// the invalid ones.
+func (r *Runner) decodeOperatorRecords(records []subscriber.Record) []operatorRecord {
+	var decoded []operatorRecord
+	for _, record := range records {
+		content, err := r.deps.Translator.DecodeOperatorRecord(record)
+		if err != nil {
+			r.ignoredRecords.Inc()
+			r.logger.Error("invalid record in the operators' topic", "key", record.Key, "offset", record.Offset, "error", err)
+			continue
+		}
+		decoded = append(decoded, operatorRecord{content, record.Offset})
+	}
+	return decoded
+}
+
 // applyDeclaration puts a declaration in force unless a newer one already is.
 func (r *Runner) applyDeclaration(declaration matcher.Declaration, offset int64) {
 	table := matcher.NewTable(declaration)
--- a/internal/runner/listen.go
+++ b/internal/runner/listen.go
@@ -98,7 +98,8 @@
 	_, _ = writer.Write([]byte("ready\n"))
 }
 
-// registerMetrics registers the gauges that are read from the daemon's parts.
+// registerMetrics registers the gauges that are read from the daemon's parts, and the counters
+// that no part has.
 func (r *Runner) registerMetrics() {
 	gauge := func(name string, value func() float64) { r.metrics.NewGauge(name, value) }
 	gauge("log_lines_dropped", func() float64 { return float64(r.noter.Dropped()) })
@@ -109,6 +110,8 @@
 	gauge("body_bytes", func() float64 { return float64(r.bodies.Used()) })
 	gauge("endpoints", func() float64 { endpoints, _ := r.tracker.Counts(); return float64(endpoints) })
 	gauge("ejections", func() float64 { _, ejections := r.tracker.Counts(); return float64(ejections) })
+	gauge("evacuated_zones", func() float64 { return float64(len(r.operatorState.Snapshot().evacuated)) })
+	r.ignoredRecords = r.metrics.NewCounter("ignored_operator_records_total")
 	gauge("members_serving", func() float64 { return float64(len(r.peers.serving())) })
 	gauge("limited_endpoints", func() float64 { return float64(r.tracker.LimitedEndpoints()) })
 	gauge("suspected_parts", func() float64 { suspects, _ := r.quarantine.Counts(); return float64(suspects) })
--- a/internal/runner/peers.go
+++ b/internal/runner/peers.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -163,6 +164,11 @@
 // knowsOtherZone reports whether a member of another zone is known.
 func (p *peers) knowsOtherZone() bool { return p.members.Snapshot().otherZone }
 
+// knowsZone reports whether a member that can receive requests is in the zone.
+func (p *peers) knowsZone(zone string) bool {
+	return slices.ContainsFunc(p.serving(), func(member gossiper.Member) bool { return member.Zone == zone })
+}
+
 // isFirst reports whether this daemon is the first of all in the order of a key.
 func (p *peers) isFirst(key string) bool {
 	ranked := gossiper.Rank(key, p.serving())
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -64,6 +64,10 @@
 	Order       *promoter.Order
 	// WithdrawnService is the service whose rollout order was withdrawn.
 	WithdrawnService string
+	// EvacuatedZone is an availability zone whose endpoints must get no requests,
+	// ReturnedZone one whose evacuation was withdrawn.
+	EvacuatedZone string
+	ReturnedZone  string
 }
 
 // Dependencies are the parts of the process that a daemon uses.
@@ -142,6 +146,11 @@
 	peers         *peers
 	contacts      *contacts
 	quarantine    *quarantiner.Quarantine
+	// ignoredRecords counts the operators' records that this daemon does not act on.
+	ignoredRecords *metrics.Counter
+	// checkedZones are the evacuated zones that were known to checkEvacuations when it was
+	// last called. Only sweep uses it.
+	checkedZones map[string]int64
 	// sharers are the names of the daemons among which limits were last divided. Only
 	// sweep uses it.
 	sharers []string
@@ -354,6 +363,7 @@
 			r.rollouts.sweepSessions()
 			r.peers.sweep()
 			r.divideLimits()
+			r.checkEvacuations()
 			r.quarantine.Sweep(time.Now())
 		case <-ctx.Done():
 			return ctx.Err()
--- a/internal/runner/state.go
+++ b/internal/runner/state.go
@@ -9,19 +9,22 @@
 
 // operatorState holds what operators have written. The keeper's actor owns it.
 type operatorState struct {
-	table   *matcher.Table
-	orders  map[string]promoter.Order
-	changed bool
+	table       *matcher.Table
+	orders      map[string]promoter.Order
+	evacuations evacuations
+	changed     bool
 }
 
 // operatorSnapshot is an immutable snapshot of the operator state.
 type operatorSnapshot struct {
 	table  *matcher.Table
 	orders map[string]promoter.Order
+	// evacuated holds the evacuated zones, with the offsets of their records.
+	evacuated map[string]int64
 }
 
 func newOperatorState() *operatorState {
-	return &operatorState{orders: map[string]promoter.Order{}, changed: true}
+	return &operatorState{orders: map[string]promoter.Order{}, evacuations: newEvacuations(), changed: true}
 }
 
 // snapshot returns a snapshot if the state has changed since the last call, and
@@ -31,7 +34,7 @@
 		return nil
 	}
 	s.changed = false
-	return &operatorSnapshot{table: s.table, orders: maps.Clone(s.orders)}
+	return &operatorSnapshot{table: s.table, orders: maps.Clone(s.orders), evacuated: maps.Clone(s.evacuations.zones)}
 }
 
 // setTable puts a declaration in force unless it is older than the current one or
--- a/internal/subscriber/subscriber.go
+++ b/internal/subscriber/subscriber.go
@@ -75,6 +75,10 @@
 	// other keys have been deleted.
 	Complete bool
 	Records  []Record
+	// Next is the offset up to which the change reaches: every record before it is in this
+	// change or an earlier one, or has been replaced. It may be lower than that of an earlier
+	// change, because a peer may have read less.
+	Next int64
 }
 
 // Clock returns the time since a fixed moment. It keeps counting while the host
@@ -339,7 +343,7 @@
 		s.logger.Warn("invalid record in topic", "topic", s.name, "error", err)
 	}
 	if len(page.Records) > 0 {
-		s.handle(Change{Records: page.Records})
+		s.handle(Change{Records: page.Records, Next: page.Next})
 	}
 	atEnd := page.Next >= page.End
 	s.recordVerifiedRead(verifiedAt, atEnd)
@@ -469,7 +473,7 @@
 func (s *Subscriber) applyNewest(records []Record, next int64, verifiedAt time.Duration) {
 	s.setNextOffset(next)
 	s.initialised = true
-	s.handle(Change{Complete: true, Records: records})
+	s.handle(Change{Complete: true, Records: records, Next: next})
 	s.recordVerifiedRead(verifiedAt, true)
 	s.window.load(records, next, verifiedAt)
 }
