Name the change of the evacuated zones in operatorState, as its other changes are

No change of behaviour. Evidence: make lint is clean; the tests of runner, forwarder and tracker pass, those of the evacuation in platform 5 of 5 times.

--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -45,7 +45,7 @@
 	// escalates to a larger model.
 	statusDiscarded
 	// statusNotPermitted means that the endpoint has not been sent the request because it
-	// may not get requests any more. It does not count as an attempt.
+	// may not get requests any more. It uses up none of the request's attempts.
 	statusNotPermitted
 )
 
--- a/internal/runner/evacuations.go
+++ b/internal/runner/evacuations.go
@@ -53,6 +53,7 @@
 	applied := e.next
 	e.next = max(e.next, change.next)
 	if change.complete && change.next >= applied {
+		// A record that the change does not reach may be newer than it.
 		maps.DeleteFunc(e.zones, func(_ string, offset int64) bool { return offset < change.next })
 		applied = 0
 	}
@@ -74,10 +75,7 @@
 		return
 	}
 	before := r.operatorState.Snapshot().evacuated
-	r.updateOperatorState(func(state *operatorState) {
-		state.evacuations.apply(change)
-		state.changed = true
-	})
+	r.updateOperatorState(func(state *operatorState) { state.applyEvacuations(change) })
 	after := r.operatorState.Snapshot().evacuated
 	if maps.Equal(before, after) {
 		return
--- a/internal/runner/state.go
+++ b/internal/runner/state.go
@@ -57,3 +57,8 @@
 	delete(s.orders, service)
 	s.changed = true
 }
+
+func (s *operatorState) applyEvacuations(change evacuationChange) {
+	s.evacuations.apply(change)
+	s.changed = true
+}
