Take a new fact in place of an expired one

The observer that had removed the old one begins with version 1 again. So far facts live for minutes; the time that an endpoint stays cold lasts seconds. Change: an expired fact no longer hides a new one. Figures: TestFactAfterExpiredOne failed before (0 new facts, 1 wanted) and passes.

--- a/internal/gossiper/facts.go
+++ b/internal/gossiper/facts.go
@@ -77,7 +77,8 @@
 		ObservedAt: now.Add(-max(0, message.GetAge().AsDuration())),
 	}
 	existing, exists := m.facts[key]
-	if fact.expired(now) || exists && existing.Message.GetVersion() >= message.GetVersion() {
+	isKnown := exists && !existing.expired(now) && existing.Message.GetVersion() >= message.GetVersion()
+	if fact.expired(now) || isKnown {
 		return Fact{}, false
 	}
 	if !exists && len(m.facts) >= maxFacts {
--- a/internal/gossiper/facts_test.go
+++ b/internal/gossiper/facts_test.go
@@ -97,6 +97,23 @@
 	}
 }
 
+// TestFactAfterExpiredOne guards against an observation that is ignored because a daemon still
+// holds the expired one about the same thing, with a higher version. Facts of seconds, such as the time
+// that an endpoint stays cold, come again soon after they have expired.
+func TestFactAfterExpiredOne(t *testing.T) {
+	c := newCluster(9)
+	c.memberships["m003"].Observe(crashFact(), c.now)
+	c.memberships["m003"].Observe(crashFact(), c.now)
+	c.roundsUntil(joinRounds, holdsFact(2))
+	c.now = c.now.Add(factLifetime)
+	first := gossiper.New(gossiper.Member{Name: "m100"})
+	first.Observe(crashFact(), c.now)
+	changes := c.memberships["m003"].Receive(&schema.Rumours{Facts: first.FactMessages(c.now)}, c.now)
+	if got := len(changes.Facts); got != 1 {
+		t.Errorf("new facts got %d, want 1", got)
+	}
+}
+
 // TestFactExpires guards against facts that outlive their cause: the age travels with
 // the fact, so that passing it on does not prolong it.
 func TestFactExpires(t *testing.T) {
