--- a/internal/apportioner/apportioner.go
+++ b/internal/apportioner/apportioner.go
@@ -1,4 +1,5 @@
-// Package apportioner divides the request rate that an endpoint accepts among the daemons.
+// Package apportioner divides the request rate that an endpoint accepts, by its own words or
+// because it is cold, among the daemons.
 // Each daemon computes its own part, so that none has to be asked: the daemons that may send
 // to an endpoint come first in an order that is the same everywhere, and few of them change
 // when a daemon starts or stops.
@@ -28,21 +29,26 @@
 	if perSecond >= 1 {
 		size = min(float64(len(members)), math.Floor(perSecond)+extraMembers)
 	}
+	place, isMember := rank(endpoint, self, members)
+	if !isMember || float64(place) >= size {
+		return 0
+	}
+	return perSecond / size
+}
+
+// rank returns the place of a daemon in the order of the members for an endpoint, from 0. It
+// returns false if the daemon is not among them.
+func rank(endpoint, self string, members []string) (place int, isMember bool) {
 	selfScore := score(endpoint, self)
-	rank := 0
-	isMember := false
 	for _, member := range members {
 		switch {
 		case member == self:
 			isMember = true
 		case score(endpoint, member) > selfScore:
-			rank++
+			place++
 		}
 	}
-	if !isMember || float64(rank) >= size {
-		return 0
-	}
-	return perSecond / size
+	return place, isMember
 }
 
 // score orders the members for an endpoint by rendezvous hashing.
