Keep requests to cold endpoints within this daemon's share

Cause: an endpoint that has just started has no backlog, so all daemons choose it, and it crashes. Change: the tracker knows until when each incarnation is cold, from its registration, responses, other daemons and refused connections, the latest time counts, and sends only its share until then. Limits that endpoints name hold beside it. Wait tells when a share or the end of the cold time allows a request.

--- a/internal/tracker/choice.go
+++ b/internal/tracker/choice.go
@@ -267,6 +267,7 @@
 	case ConnectFailed, Unreachable:
 		c.endpoint.downUntil = now.Add(min(maxDownTime, minDownTime<<min(c.endpoint.connectFailures, 4)))
 		c.endpoint.connectFailures++
+		t.suspectCold(c.endpoint, now)
 	case Neutral, Failure:
 		health.RecordFailure(c.Address, now)
 	}
--- a/internal/tracker/limit.go
+++ b/internal/tracker/limit.go
@@ -113,15 +113,21 @@
 }
 
 // withinLimit reports whether the endpoint's limit, if it has one, lets this daemon send a
-// request now.
+// request now, and so does its cold bound, if it is cold.
 func (t *Tracker) withinLimit(endpoint *endpointState, now time.Time) bool {
+	if cold := t.coldOf(endpoint, now); cold != nil && !cold.allows(now) {
+		return false
+	}
 	limit := t.limitOf(endpoint.ID, endpoint.Started)
 	return limit == nil || limit.limiter.TokensAt(now) >= 1
 }
 
-// spendLimit takes a request from this daemon's share of the endpoint's limit, if it has
-// one, and reports whether it does.
+// spendLimit takes a request from this daemon's shares of the endpoint's limit and of its cold
+// bound, if it has them, and reports whether it has a limit.
 func (t *Tracker) spendLimit(endpoint *endpointState, now time.Time) (limited bool) {
+	if cold := t.coldOf(endpoint, now); cold != nil {
+		cold.limiter.AllowN(now, 1)
+	}
 	limit := t.limitOf(endpoint.ID, endpoint.Started)
 	if limit == nil {
 		return false
@@ -130,8 +136,8 @@
 	return true
 }
 
-// Wait returns the time until the limits and pauses of endpoints let this daemon send a request
-// of the query, or false if none of them prevents it for a known time.
+// Wait returns the time until the limits, pauses and cold bounds of endpoints let this daemon send
+// a request of the query, or false if none of them prevents it for a known time.
 func (t *Tracker) Wait(query Query) (wait time.Duration, prevented bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -140,17 +146,17 @@
 		if !query.matches(endpoint) || !t.available(endpoint, now) {
 			continue
 		}
-		next := t.pauseLeft(endpoint, now)
+		next := max(t.pauseLeft(endpoint, now), t.coldWait(endpoint, now))
 		limit := t.limitOf(endpoint.ID, endpoint.Started)
 		if limit == nil && next == 0 {
 			return 0, false
 		}
 		if limit != nil {
-			perSecond := float64(limit.limiter.Limit())
-			if perSecond <= 0 {
+			untilToken, ok := tokenWait(limit.limiter, now)
+			if !ok {
 				continue
 			}
-			next = max(next, time.Duration(max(0, 1-limit.limiter.TokensAt(now))/perSecond*float64(time.Second)))
+			next = max(next, untilToken)
 		}
 		if !prevented || next < wait {
 			wait, prevented = next, true
@@ -159,6 +165,16 @@
 	return wait, prevented
 }
 
+// tokenWait returns the time until a limiter allows a request, or false if it never does.
+func tokenWait(limiter *rate.Limiter, now time.Time) (wait time.Duration, ok bool) {
+	missing := max(0, 1-limiter.TokensAt(now))
+	perSecond := float64(limiter.Limit())
+	if perSecond <= 0 {
+		return 0, missing == 0
+	}
+	return time.Duration(missing / perSecond * float64(time.Second)), true
+}
+
 // LimitedEndpoints returns the number of endpoints with a limit.
 func (t *Tracker) LimitedEndpoints() int {
 	t.mu.Lock()
--- a/internal/tracker/tracker.go
+++ b/internal/tracker/tracker.go
@@ -100,6 +100,14 @@
 	// of a limit.
 	limits map[string]*limitState
 	share  func(endpoint string, perSecond float64) float64
+	// coldServices holds the services whose cold endpoints have a bound, colds the endpoints
+	// that are cold by their id. coldShare returns this daemon's share of a bound.
+	coldServices map[string]ColdService
+	colds        map[string]*coldState
+	coldShare    func(endpoint string, perSecond float64) float64
+	// synchronised is set once all endpoints that were registered when this daemon started are
+	// known.
+	synchronised bool
 	// notices holds what endpoints have asked for in their responses, by their id.
 	notices   map[string]*notice
 	zone      string
@@ -119,6 +127,8 @@
 		prefillMsPerToken: map[string]float64{},
 		meanDurations:     map[string]time.Duration{},
 		limits:            map[string]*limitState{},
+		colds:             map[string]*coldState{},
+		coldShare:         func(string, float64) float64 { return 0 },
 		notices:           map[string]*notice{},
 		share:             func(_ string, perSecond float64) float64 { return perSecond },
 		zone:              zone,
@@ -145,8 +155,10 @@
 		}
 		t.update(endpoint, registration)
 	}
+	previous := endpoint.Registration
 	endpoint.Registration = registration
 	endpoint.removeAt = time.Time{}
+	t.registerCold(registration, previous)
 }
 
 // update resets the results that no longer apply when the endpoint has a new
@@ -205,6 +217,7 @@
 			t.remove(id, grace)
 		}
 	}
+	t.synchronised = true
 }
 
 func (t *Tracker) serviceHealth(service string) *picker.Health {
