Keep the bound of cold endpoints on the operators' platform

Cause: coldS and coldPerS of a service and Cold-Ms of a response were not read, and no daemon divided what a cold endpoint bears. Change: the declaration, the registration (a negative time counts as warm) and the response are decoded; the settings take bounds.cold and bounds.margin where the platform sets them, and the rate alone otherwise; the shares follow the members, of which dead ones keep theirs for 10 min, and a daemon has none in its first 10 s; a time that a response names becomes a fact.

--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -248,12 +248,15 @@
 	}
 }
 
-// recordNotices records what the response asks this daemon for. Another endpoint at the address
+// recordNotices records what the response says of the endpoint's start and asks this daemon for. Another endpoint at the address
 // says nothing of this one.
 func (c *call) recordNotices(choice *tracker.Choice, info ResponseInfo) {
 	if info.Misdirected {
 		return
 	}
+	if info.ColdRemaining > 0 {
+		c.ControlPlane.RecordCold(choice.Registration, info.ColdRemaining)
+	}
 	if info.Leaving {
 		choice.ReportLeaving()
 	}
--- a/internal/forwarder/codec.go
+++ b/internal/forwarder/codec.go
@@ -83,6 +83,9 @@
 	Confidence int
 	// RateLimit is what the headers say of the request rate that the endpoint accepts.
 	RateLimit RateLimit
+	// ColdRemaining is how much longer the endpoint is cold after its start. It is 0 if the
+	// headers do not say.
+	ColdRemaining time.Duration
 	// Leaving is set if the endpoint is about to stop and wants no more requests.
 	Leaving bool
 	// Pause is how long the endpoint, which has turned the request away, wants no more
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -63,6 +63,8 @@
 	// RecordRateLimit records what the response to a request, which was sent at a time,
 	// says of the endpoint's limit.
 	RecordRateLimit(endpoint tracker.Registration, limit RateLimit, sentAt time.Time)
+	// RecordCold records how much longer the endpoint is cold according to a response.
+	RecordCold(endpoint tracker.Registration, remaining time.Duration)
 	// RequestStarted records that a request of the session has arrived,
 	// RequestEnded that it has ended.
 	RequestStarted(session string)
--- a/internal/gossiper/facts.go
+++ b/internal/gossiper/facts.go
@@ -35,6 +35,8 @@
 		return "sound/" + strconv.FormatUint(about.Sound.GetPart(), 16)
 	case *schema.Fact_Limit:
 		return "limit/" + about.Limit.GetEndpoint() + "/" + strconv.FormatInt(about.Limit.GetStartedMs(), 10)
+	case *schema.Fact_Cold:
+		return "cold/" + about.Cold.GetEndpoint() + "/" + strconv.FormatInt(about.Cold.GetStartedMs(), 10)
 	default:
 		return ""
 	}
--- a/internal/matcher/matcher.go
+++ b/internal/matcher/matcher.go
@@ -66,6 +66,11 @@
 	MaxConnections int
 	// Costs maps each of the service's models to its cost per 1,000 tokens.
 	Costs map[string]float64
+	// ColdRate is the number of requests a second that a cold endpoint bears. If it is 0, there
+	// is no bound.
+	ColdRate float64
+	// ColdTime is how long an endpoint is cold after its start.
+	ColdTime time.Duration
 }
 
 // Account is a client account.
--- a/internal/runner/facts.go
+++ b/internal/runner/facts.go
@@ -26,6 +26,8 @@
 			r.quarantine.RecordSound(about.Sound.GetPart(), fact.ObservedAt, now)
 		case *schema.Fact_Limit:
 			r.applyLimit(about.Limit, fact.ObservedAt)
+		case *schema.Fact_Cold:
+			r.applyCold(about.Cold, fact.ObservedAt)
 		}
 	}
 	if len(crashes) > 0 {
--- a/internal/runner/follow.go
+++ b/internal/runner/follow.go
@@ -38,6 +38,9 @@
 	table := matcher.NewTable(declaration)
 	inForce := false
 	r.updateOperatorState(func(state *operatorState) { inForce = state.setTable(table) })
+	if inForce {
+		r.setColdServices(declaration.Services)
+	}
 	routes, accounts := table.Counts()
 	r.logger.Info("declaration read", "revision", table.Revision, "in_force", inForce, "offset", offset, "routes", routes, "accounts", accounts)
 }
--- a/internal/runner/listen.go
+++ b/internal/runner/listen.go
@@ -111,6 +111,7 @@
 	gauge("ejections", func() float64 { _, ejections := r.tracker.Counts(); return float64(ejections) })
 	gauge("members_serving", func() float64 { return float64(len(r.peers.serving())) })
 	gauge("limited_endpoints", func() float64 { return float64(r.tracker.LimitedEndpoints()) })
+	gauge("cold_endpoints", func() float64 { return float64(r.tracker.ColdEndpoints()) })
 	gauge("suspected_parts", func() float64 { suspects, _ := r.quarantine.Counts(); return float64(suspects) })
 	gauge("quarantined_parts", func() float64 { _, quarantined := r.quarantine.Counts(); return float64(quarantined) })
 	gauge("connections_opened", func() float64 { opened, _ := r.exchanger.Counts(); return float64(opened) })
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -145,7 +145,10 @@
 	// sharers are the names of the daemons among which limits were last divided. Only
 	// sweep uses it.
 	sharers []string
-	tracker *tracker.Tracker
+	// coldDivision is how what cold endpoints accept was last divided. Only sweep uses it.
+	coldDivision coldDivision
+	startedAt    time.Time
+	tracker      *tracker.Tracker
 	// bodies is the memory that the bodies of requests share.
 	bodies    *reserver.Budget
 	exchanger *exchanger.Exchanger
@@ -172,6 +175,7 @@
 		system:      keeper.NewSystem(),
 		metrics:     metrics.NewSet(),
 		connections: newConnections(),
+		startedAt:   time.Now(),
 	}
 	r.settings.Store(&settings)
 	memory := deps.Memory
--- a/internal/runner/settings.go
+++ b/internal/runner/settings.go
@@ -43,6 +43,10 @@
 	// SessionTimeout is the pause after which requests with one session id no longer
 	// belong together.
 	SessionTimeout time.Duration
+	// ColdFactor times the declared rate of a cold endpoint is the number of requests that it
+	// may get in any second from all daemons, ColdMargin the number of requests on top.
+	ColdFactor float64
+	ColdMargin float64
 }
 
 // settingsChecker collects the faults of settings.
@@ -118,6 +122,14 @@
 	return value
 }
 
+// factor checks a multiple. It is 1 if it is missing.
+func (c *settingsChecker) factor(path string, value float64) float64 {
+	if value == 0 {
+		return 1
+	}
+	return c.ratio(path, value)
+}
+
 // CheckSettings converts the schema's settings to checked ones. The error is a
 // decoder.Faults. source adds the file and the lines to it.
 func CheckSettings(settings *schema.EntrySettings, source decoder.Source) (Settings, error) {
@@ -139,6 +151,8 @@
 		ExposureShare:  c.share("bounds.expose", bounds.GetExpose()),
 		ExposureSlack:  c.count("bounds.slack", bounds.GetSlack()),
 		SessionTimeout: c.duration("bounds.session", bounds.GetSession()),
+		ColdFactor:     c.factor("bounds.cold", bounds.GetCold()),
+		ColdMargin:     c.count("bounds.margin", bounds.GetMargin()),
 	}
 	return checked, source.Locate(c.faults).Err()
 }
--- a/internal/runner/settings_test.go
+++ b/internal/runner/settings_test.go
@@ -40,16 +40,18 @@
 		// want are parts of the error message. It is empty if the settings are valid.
 		want []string
 	}{
-		"valid":             {"", "", nil},
-		"missing name":      {`name = "entry-1"`, "", []string{"name", "is missing"}},
-		"invalid address":   {`"127.0.0.1:8220"`, `"ready"`, []string{":6:", "listen.ready", "is not an address"}},
-		"misspelt key":      {"revoke =", "revok =", []string{":15:", "revok", "revoke"}},
-		"zero duration":     {`"8s"`, `"0s"`, []string{":17:", "bounds.grace"}},
-		"unknown log level": {`zone = "ouse"`, "zone = \"ouse\"\nlog = \"inof\"", []string{":3:", "log: \"inof\" is not a log level", "info"}},
-		"negative share":    {"expose = 0.15", "expose = -1.0", []string{":19:", "bounds.expose"}},
-		"share over 1":      {"expose = 0.15", "expose = 1.5", []string{":19:", "bounds.expose", "between 0 and 1"}},
-		"negative slack":    {"slack = 30", "slack = -0.5", []string{":20:", "bounds.slack"}},
-		"not TOML":          {"[bounds]", "[bounds", []string{":14:"}},
+		"valid":                {"", "", nil},
+		"missing name":         {`name = "entry-1"`, "", []string{"name", "is missing"}},
+		"invalid address":      {`"127.0.0.1:8220"`, `"ready"`, []string{":6:", "listen.ready", "is not an address"}},
+		"misspelt key":         {"revoke =", "revok =", []string{":15:", "revok", "revoke"}},
+		"zero duration":        {`"8s"`, `"0s"`, []string{":17:", "bounds.grace"}},
+		"unknown log level":    {`zone = "ouse"`, "zone = \"ouse\"\nlog = \"inof\"", []string{":3:", "log: \"inof\" is not a log level", "info"}},
+		"negative share":       {"expose = 0.15", "expose = -1.0", []string{":19:", "bounds.expose"}},
+		"share over 1":         {"expose = 0.15", "expose = 1.5", []string{":19:", "bounds.expose", "between 0 and 1"}},
+		"negative slack":       {"slack = 30", "slack = -0.5", []string{":20:", "bounds.slack"}},
+		"negative cold factor": {`session = "6.7s"`, "session = \"6.7s\"\ncold = -1.5", []string{":22:", "bounds.cold", "between 0 and 10"}},
+		"negative cold margin": {`session = "6.7s"`, "session = \"6.7s\"\nmargin = -5", []string{":22:", "bounds.margin", "is negative"}},
+		"not TOML":             {"[bounds]", "[bounds", []string{":14:"}},
 	}
 	for name, row := range rows {
 		t.Run(name, func(t *testing.T) {
