--- a/internal/gossiper/facts.go
+++ b/internal/gossiper/facts.go
@@ -35,6 +35,8 @@
 		return "sound/" + strconv.FormatUint(about.Sound.GetPart(), 16)
 	case *schema.Fact_Limit:
 		return "limit/" + about.Limit.GetEndpoint() + "/" + strconv.FormatInt(about.Limit.GetStartedMs(), 10)
+	case *schema.Fact_Cold:
+		return "cold/" + about.Cold.GetEndpoint() + "/" + strconv.FormatInt(about.Cold.GetStartedMs(), 10)
 	default:
 		return ""
 	}
@@ -77,7 +79,8 @@
 		ObservedAt: now.Add(-max(0, message.GetAge().AsDuration())),
 	}
 	existing, exists := m.facts[key]
-	if fact.expired(now) || exists && existing.Message.GetVersion() >= message.GetVersion() {
+	isKnown := exists && !existing.expired(now) && existing.Message.GetVersion() >= message.GetVersion()
+	if fact.expired(now) || isKnown {
 		return Fact{}, false
 	}
 	if !exists && len(m.facts) >= maxFacts {
--- a/internal/tracker/evacuation.go
+++ b/internal/tracker/evacuation.go
@@ -24,8 +24,13 @@
 }
 
 // Permitted reports whether the endpoint may still get the request for which it was chosen. It
-// may since have been drained, evacuated, removed, restarted or given another address.
-func (c *Choice) Permitted() bool {
+// may since have been drained, evacuated, removed, restarted or given another address, or have
+// turned cold. It must be called once, because it takes the request from the share of an endpoint
+// that has turned cold.
+func (c *Choice) Permitted() bool { return c.stillAvailable() && c.WithinColdShare() }
+
+// stillAvailable reports whether the process for which the request was chosen may get work.
+func (c *Choice) stillAvailable() bool {
 	t := c.tracker
 	t.mu.Lock()
 	defer t.mu.Unlock()
