Order requests at engines by their declared priority first

Cause: the priority that an engine got was 4 for the first step of a cascade and 5 for later ones, whatever the route or the client account. An engine admits, and preempts, by this number, so with requests waiting it ran a less urgent first step before a more urgent later step.

Change: the declared priority, the account's before the route's, gives two engine priorities: one for the first step, one for later steps. It stays within 0 to 9. Requests of plain services and of a model that the client chose still send none.

--- a/internal/forwarder/size.go
+++ b/internal/forwarder/size.go
@@ -87,22 +87,34 @@
 }
 
 const (
-	// firstStepPriority is served before laterStepPriority at an inference engine.
-	// A step on the smallest model is short, and behind a long prompt it would
-	// wait many times its own duration.
-	firstStepPriority = 4
-	laterStepPriority = 5
+	// enginePriorities is the number of priorities of an inference engine, from 0, the
+	// most urgent.
+	enginePriorities = 10
+	// stepsPerPriority is the number of engine priorities of one declared priority: the
+	// first step of a cascade, then the later ones. A step on the smallest model is short,
+	// and behind a long prompt it would wait many times its own duration.
+	stepsPerPriority = 2
 )
 
+// priority returns the declared priority of the request; 0 is the most urgent. That of the
+// client account comes before that of the route.
+func (c *call) priority() int {
+	if c.account != nil && c.account.Priority >= 0 {
+		return c.account.Priority
+	}
+	return max(0, c.route.Priority)
+}
+
 // enginePriority returns the request's priority at the endpoint, or a negative
-// value for none.
+// value for none. The declared priority orders requests first, the step of the cascade
+// those of one declared priority.
 func (c *call) enginePriority() int {
-	switch {
-	case !c.AnyModel || len(c.route.Models) == 0:
+	if !c.AnyModel || len(c.route.Models) == 0 {
 		return -1
-	case c.size == 0:
-		return firstStepPriority
-	default:
-		return laterStepPriority
 	}
+	mostUrgentStep := stepsPerPriority * min(c.priority(), enginePriorities/stepsPerPriority-1)
+	if c.size == 0 {
+		return mostUrgentStep
+	}
+	return mostUrgentStep + 1
 }
