Limit a daemon's requests at an overloaded pool

Cause: nothing tells a daemon when requests wait at all endpoints of a pool and how many of its own it should then have there.

Change: throttler.Window decides from the load of the least loaded endpoint of which a recent report is known. The limit begins after half a second of overload, falls and rises by shares, and ends when nothing waits or the load is not known. It is pure; time is an argument.

--- /dev/null
+++ b/internal/throttler/throttler.go
@@ -0,0 +1,192 @@
+// Package throttler limits how many requests a daemon has at the endpoints of a pool while they
+// are overloaded. Daemons that see the same load decide alike, without a message between them.
+// The decisions do no I/O and read no clock.
+package throttler
+
+import (
+	"math"
+	"time"
+)
+
+// Sample is what a daemon sees of a pool of endpoints.
+type Sample struct {
+	// KnownShare is the share of the endpoints whose load recent reports tell.
+	KnownShare float64
+	// LeastLoad is the least number of requests for each slot at one of these endpoints, and
+	// LeastWait the least expected wait for a slot at one of them.
+	LeastLoad float64
+	LeastWait time.Duration
+	// Running is the number of the daemon's requests at the endpoints, Waiting that of those
+	// that wait at the daemon.
+	Running int
+	Waiting int
+	// Target is the time within which callers of the pool want a response to begin.
+	Target time.Duration
+}
+
+const (
+	// minKnownShare is the share of the endpoints whose load has to be known. An endpoint
+	// that hangs reports no load and is no room either.
+	minKnownShare = 0.9
+	// busyLoad is the load of the least loaded endpoint from which all are overloaded. Up to
+	// it, an endpoint's own queue is short enough to keep its slots in use and no more.
+	busyLoad = 1.5
+	// fullLoad is the load from which the most urgent requests wait too, because endpoints
+	// may turn them away.
+	fullLoad = 2.5
+	// freeLoad is the load below which an endpoint has a free slot.
+	freeLoad = 1
+	// busyTargetShare is the share of the target latency that a request waits at each endpoint
+	// of an overloaded pool.
+	busyTargetShare = 0.5
+)
+
+// known reports whether recent reports tell enough for a decision.
+func (s Sample) known() bool { return s.KnownShare >= minKnownShare }
+
+// busy reports whether requests wait at all endpoints.
+func (s Sample) busy() bool {
+	return s.LeastLoad >= busyLoad && s.LeastWait >= time.Duration(busyTargetShare*float64(s.Target))
+}
+
+// full reports whether all endpoints may turn the next request away.
+func (s Sample) full() bool { return s.LeastLoad >= fullLoad && s.busy() }
+
+// hasRoom reports whether an endpoint has a free slot.
+func (s Sample) hasRoom() bool { return s.LeastLoad < freeLoad }
+
+// Limit is what a daemon may do with the requests of a pool.
+type Limit struct {
+	// Active is set while the pool is overloaded. Otherwise there is no limit.
+	Active bool
+	// Requests is the number of requests that the daemon may have at the endpoints.
+	Requests int
+	// MostUrgent is set if the limit holds for the most urgent requests too.
+	MostUrgent bool
+	// MayRefuse is set if requests may be refused: no endpoint has a free slot.
+	MayRefuse bool
+}
+
+const (
+	// reportInterval is the time in which each daemon of a zone hears of the load of all
+	// endpoints. A change of the limit shows in the reports after it.
+	reportInterval = 500 * time.Millisecond
+	// growInterval is the time between increases of the limit while an endpoint has room.
+	growInterval = 100 * time.Millisecond
+	// busyFactor is what is left of the limit after a reportInterval of overload, fullFactor
+	// if endpoints may turn requests away.
+	busyFactor = 0.9
+	fullFactor = 0.7
+	// growFactor is the increase of the limit after a growInterval of room.
+	growFactor = 1.25
+	// calmTime is how long there must be no overload and no request that waits at the daemon
+	// for the limit to end.
+	calmTime = time.Second
+)
+
+// Window is the limit of one pool. It begins with the number of requests that the daemon has at
+// the endpoints, falls by a share while they are overloaded, rises by one while they are not, and
+// by a share while one has room. So daemons that see the same load come to equal limits. It is
+// not safe for concurrent use.
+type Window struct {
+	limit float64
+	// busySince is when the overload began that has not led to a limit yet, calmSince when
+	// the state began that ends the limit. Both are zero if there is no such state.
+	busySince time.Time
+	calmSince time.Time
+	// changedAt is when the limit was last changed.
+	changedAt time.Time
+	// peak is the highest number of running requests since busySince.
+	peak int
+	// state is the latest decision.
+	state Limit
+}
+
+// NewWindow returns a window without a limit.
+func NewWindow() *Window { return &Window{} }
+
+// Limit returns the latest decision.
+func (w *Window) Limit() Limit { return w.state }
+
+// Observe updates the limit for what the daemon sees at a time, and returns it.
+func (w *Window) Observe(sample Sample, now time.Time) Limit {
+	switch {
+	case !sample.known():
+		*w = Window{}
+	case !w.state.Active:
+		w.watch(sample, now)
+	default:
+		w.adjust(sample, now)
+	}
+	return w.state
+}
+
+// watch starts the limit once the overload has lasted for a reportInterval, so that it shows in
+// two reports of each endpoint.
+func (w *Window) watch(sample Sample, now time.Time) {
+	if !sample.busy() {
+		*w = Window{}
+		return
+	}
+	if w.busySince.IsZero() {
+		w.busySince = now
+	}
+	w.peak = max(w.peak, sample.Running)
+	if now.Sub(w.busySince) < reportInterval {
+		return
+	}
+	*w = Window{limit: float64(max(1, w.peak)), changedAt: now}
+	w.setState(sample)
+}
+
+// adjust changes an active limit, or ends it.
+func (w *Window) adjust(sample Sample, now time.Time) {
+	if w.isCalm(sample, now) {
+		*w = Window{}
+		return
+	}
+	elapsed := now.Sub(w.changedAt)
+	inUse := float64(sample.Running) >= math.Floor(w.limit)
+	switch {
+	case sample.hasRoom():
+		if elapsed >= growInterval && inUse {
+			w.change(max(w.limit+1, growFactor*w.limit), now)
+		}
+	case elapsed < reportInterval:
+	case sample.full():
+		w.change(max(1, fullFactor*w.limit), now)
+	case sample.busy():
+		w.change(max(1, busyFactor*w.limit), now)
+	case inUse:
+		w.change(w.limit+1, now)
+	}
+	w.setState(sample)
+}
+
+func (w *Window) change(limit float64, now time.Time) {
+	w.limit = limit
+	w.changedAt = now
+}
+
+// isCalm reports whether the limit can end.
+func (w *Window) isCalm(sample Sample, now time.Time) bool {
+	if sample.busy() || sample.Waiting > 0 {
+		w.calmSince = time.Time{}
+		return false
+	}
+	if w.calmSince.IsZero() {
+		w.calmSince = now
+	}
+	return now.Sub(w.calmSince) >= calmTime
+}
+
+// setState sets the decision. The limit holds for the most urgent requests from full until the
+// pool is not even busy.
+func (w *Window) setState(sample Sample) {
+	w.state = Limit{
+		Active:     true,
+		Requests:   int(w.limit),
+		MostUrgent: sample.full() || w.state.MostUrgent && sample.busy(),
+		MayRefuse:  !sample.hasRoom(),
+	}
+}
