--- a/internal/admitter/admitter.go
+++ b/internal/admitter/admitter.go
@@ -7,74 +7,159 @@
 import (
 	"context"
 	"math"
+	"slices"
 	"sync"
 	"time"
 
 	"quetzalgrade.example/quetzalgrade/internal/classifier"
 )
 
+// Request holds the properties of a request that admission depends on.
+type Request struct {
+	Account string
+	// Weight is the account's weight in fair queueing. A value that is not
+	// positive and finite counts as 1.
+	Weight float64
+	// Priority orders requests; higher values run first.
+	Priority int
+	// MaxParallel bounds the account's requests that run or wait at once; 0
+	// means no bound.
+	MaxParallel int
+	// Deadline is when the response must be complete.
+	Deadline time.Time
+	// StartBy is when the request should start at the latest, or zero for no bound. It decides
+	// only at the arrival: a request that has waited may start later.
+	StartBy time.Time
+	// Kind groups requests that run for about the same time.
+	Kind string
+	// Work is the expected work of the request, in any unit, or 0 if unknown. It counts
+	// against the account's share and is no reason for a refusal.
+	Work float64
+	// Immediate is set if the request must neither wait nor be refused.
+	Immediate bool
+}
+
+// weight returns the weight in fair queueing.
+func (r Request) weight() float64 {
+	if !(r.Weight > 0) || math.IsInf(r.Weight, 0) {
+		return 1
+	}
+	return r.Weight
+}
+
 // Ticket is the queue entry of a request that waits or runs.
 type Ticket struct {
-	account  string
-	weight   float64
-	priority int
-	deadline time.Time
-	// virtualFinish is the virtual finish time of weighted fair queueing. It
-	// orders the requests of one priority.
+	Request
+	// virtualStart and virtualFinish are the virtual times of weighted fair queueing.
+	// virtualFinish orders the requests of one priority.
+	virtualStart  float64
 	virtualFinish float64
+	// accepted is set once the request has been let into the queue.
+	accepted bool
 	// result receives nil when the request may run, or the reason for refusal.
 	result chan error
 }
 
+// NewTicket returns the ticket of a request.
+func NewTicket(request Request) *Ticket {
+	return &Ticket{Request: request, result: make(chan error, 1)}
+}
+
+// Options vary the decisions of a queue.
+type Options struct {
+	// MinServiceRatio is the least share of the requests of each priority that is started,
+	// in relation to that of all requests. With 0, lower priorities may get nothing.
+	MinServiceRatio float64
+	// RefuseOnlyWaiting is set if a request is refused only if it has to wait, and only once
+	// the time that requests run is known.
+	RefuseOnlyWaiting bool
+}
+
 // Queue makes the admission decisions and has no side effects: its caller
 // starts or refuses the requests that it returns. It is not safe for concurrent
 // use.
 type Queue struct {
-	capacity         int
+	options  Options
+	capacity int
+	// refusing is unset while no request may be refused.
+	refusing         bool
 	running          int
 	runningByAccount map[string]int
 	waiting          []*Ticket
 	virtualTime      float64
 	// lastFinish holds the virtual finish time of each account's newest request.
 	lastFinish map[string]float64
-	// serviceTime is the moving average of the time that a request runs.
-	serviceTime time.Duration
+	durations  *durations
+	shares     *shares
+	// meanWork is the moving average of the work of requests.
+	meanWork float64
 }
 
 const (
-	// serviceTimeSmoothing is the weight of the newest request in the moving
-	// average of the service time.
-	serviceTimeSmoothing = 0.05
-	// initialServiceTime is the assumed service time before any request has
-	// completed.
-	initialServiceTime = time.Second
 	// waitSafetyFactor scales up the predicted wait, since a response after the
 	// deadline is useless.
 	waitSafetyFactor = 1.1
+	// workSmoothing is the weight of the newest request in the moving average of the work.
+	workSmoothing = 0.05
+	// maxWorkRatio bounds by how much the work of one request counts more, or less, than the
+	// average, so that an account is not held up for long by its largest request.
+	maxWorkRatio = 3
 )
 
 // NewQueue returns an empty queue that lets at most capacity requests run at
 // once.
-func NewQueue(capacity int) *Queue {
-	return &Queue{capacity: capacity, runningByAccount: map[string]int{}, lastFinish: map[string]float64{}, serviceTime: initialServiceTime}
+func NewQueue(capacity int, options Options) *Queue {
+	return &Queue{
+		options:          options,
+		capacity:         capacity,
+		refusing:         true,
+		runningByAccount: map[string]int{},
+		lastFinish:       map[string]float64{},
+		durations:        newDurations(),
+		shares:           newShares(options.MinServiceRatio),
+	}
 }
 
 // SetCapacity changes the number of requests that may run at once; the minimum
 // is 1. It starts no waiting requests.
 func (q *Queue) SetCapacity(capacity int) { q.capacity = max(1, capacity) }
 
+// SetRefusing sets whether requests may be refused because of their deadlines.
+func (q *Queue) SetRefusing(refusing bool) { q.refusing = refusing }
+
 // Enqueue adds a request. It returns the tickets to refuse and those to start;
 // the new ticket may be among either or remain in the queue. If the account
-// already has maxParallel requests running or waiting, the new request is
-// refused; a maxParallel of 0 means no bound.
-func (q *Queue) Enqueue(ticket *Ticket, maxParallel int, now time.Time) (refused []Refusal, started []*Ticket) {
-	if maxParallel > 0 && q.runningByAccount[ticket.account]+q.queuedFor(ticket.account) >= maxParallel {
-		return []Refusal{{ticket, classifier.New(classifier.RateLimited, "the account already has its maximum of %d requests running or waiting", maxParallel).WithRetryAfter(q.serviceTime)}}, nil
+// already has its maximum of requests running or waiting, the new request is
+// refused.
+func (q *Queue) Enqueue(ticket *Ticket, now time.Time) (refused []Refusal, started []*Ticket) {
+	if ticket.MaxParallel > 0 && q.runningByAccount[ticket.Account]+q.queuedFor(ticket.Account) >= ticket.MaxParallel {
+		return []Refusal{{ticket, classifier.New(classifier.RateLimited, "the account already has its maximum of %d requests running or waiting", ticket.MaxParallel).WithRetryAfter(q.durations.mean)}}, nil
 	}
-	ticket.virtualFinish = max(q.virtualTime, q.lastFinish[ticket.account]) + 1/ticket.weight
-	q.lastFinish[ticket.account] = ticket.virtualFinish
-	q.insert(ticket)
-	return q.shed(now), q.startWaiting()
+	ticket.virtualStart = max(q.virtualTime, q.lastFinish[ticket.Account])
+	ticket.virtualFinish = ticket.virtualStart + q.relativeWork(ticket.Work)/ticket.weight()
+	q.lastFinish[ticket.Account] = ticket.virtualFinish
+	q.shares.arrive(ticket.Priority)
+	if ticket.Immediate {
+		q.start(ticket)
+		started = append(started, ticket)
+	} else {
+		q.insert(ticket)
+	}
+	refused, waited := q.Update(now)
+	ticket.accepted = true
+	return refused, append(started, waited...)
+}
+
+// relativeWork returns the work of a request as a multiple of the average.
+func (q *Queue) relativeWork(work float64) float64 {
+	if !(work > 0) || math.IsInf(work, 0) {
+		return 1
+	}
+	if q.meanWork == 0 {
+		q.meanWork = work
+	}
+	q.meanWork += workSmoothing * (work - q.meanWork)
+	return min(maxWorkRatio, max(1./maxWorkRatio, work/q.meanWork))
 }
 
 // Refusal is a request that will not run, with the error for its client.
@@ -87,23 +172,46 @@
 // returns the tickets to refuse and those to start.
 func (q *Queue) Complete(ticket *Ticket, took time.Duration, now time.Time) (refused []Refusal, started []*Ticket) {
 	q.running--
-	if q.runningByAccount[ticket.account]--; q.runningByAccount[ticket.account] == 0 {
-		delete(q.runningByAccount, ticket.account)
+	if q.runningByAccount[ticket.Account]--; q.runningByAccount[ticket.Account] == 0 {
+		delete(q.runningByAccount, ticket.Account)
 	}
-	q.serviceTime += time.Duration(serviceTimeSmoothing * float64(took-q.serviceTime))
-	return q.shed(now), q.startWaiting()
+	q.durations.record(ticket.Kind, took)
+	return q.Update(now)
+}
+
+// Update returns the tickets to refuse and those to start at a time.
+func (q *Queue) Update(now time.Time) (refused []Refusal, started []*Ticket) {
+	started = q.startDue()
+	refused = q.shed(now)
+	return refused, append(started, q.startWaiting()...)
 }
 
 // Cancel removes a waiting request. It returns false if the request was not
 // waiting any more.
 func (q *Queue) Cancel(ticket *Ticket) bool {
-	for i, queued := range q.waiting {
-		if queued == ticket {
-			q.waiting = append(q.waiting[:i], q.waiting[i+1:]...)
-			return true
-		}
+	if !q.remove(ticket) {
+		return false
+	}
+	q.refund(ticket)
+	return true
+}
+
+// remove takes a ticket out of the queue. It returns false if the ticket does not wait.
+func (q *Queue) remove(ticket *Ticket) bool {
+	i := slices.Index(q.waiting, ticket)
+	if i < 0 {
+		return false
+	}
+	q.waiting = slices.Delete(q.waiting, i, i+1)
+	return true
+}
+
+// refund gives an account back what its newest request, which will not run, counted against
+// its share.
+func (q *Queue) refund(ticket *Ticket) {
+	if q.lastFinish[ticket.Account] == ticket.virtualFinish {
+		q.lastFinish[ticket.Account] = ticket.virtualStart
 	}
-	return false
 }
 
 // Waiting returns the number of requests that wait.
@@ -115,7 +223,7 @@
 func (q *Queue) queuedFor(account string) int {
 	count := 0
 	for _, queued := range q.waiting {
-		if queued.account == account {
+		if queued.Account == account {
 			count++
 		}
 	}
@@ -129,14 +237,12 @@
 	for position > 0 && before(ticket, q.waiting[position-1]) {
 		position--
 	}
-	q.waiting = append(q.waiting, nil)
-	copy(q.waiting[position+1:], q.waiting[position:])
-	q.waiting[position] = ticket
+	q.waiting = slices.Insert(q.waiting, position, ticket)
 }
 
 func before(a, b *Ticket) bool {
-	if a.priority != b.priority {
-		return a.priority > b.priority
+	if a.Priority != b.Priority {
+		return a.Priority > b.Priority
 	}
 	return a.virtualFinish < b.virtualFinish
 }
@@ -146,30 +252,93 @@
 // the requests there are those of the lowest priority and of the account that
 // uses the most in proportion to its weight.
 func (q *Queue) shed(now time.Time) []Refusal {
+	if !q.refusing || q.options.RefuseOnlyWaiting && !q.durations.known() {
+		return nil
+	}
 	var refused []Refusal
 	remaining := q.waiting[:0]
+	waiting := len(q.waiting)
+	position := place{}
 	for _, ticket := range q.waiting {
-		wait := q.predictWait(len(remaining))
-		if now.Add(wait + q.serviceTime).After(ticket.deadline) {
-			refused = append(refused, Refusal{ticket, classifier.New(classifier.DeadlineUnmet, "the request is predicted to complete after its deadline; %d requests are waiting", len(q.waiting)).WithRetryAfter(wait)})
+		position = position.next(ticket.Priority)
+		wait := q.predictWait(position)
+		if q.meets(ticket, wait, now) {
+			remaining = append(remaining, ticket)
+			position.ahead++
+			position.aheadOfPriority++
 			continue
 		}
-		remaining = append(remaining, ticket)
+		refused = append(refused, Refusal{ticket, classifier.New(classifier.DeadlineUnmet, "the request is predicted to complete after its deadline; %d requests are waiting", waiting).WithRetryAfter(wait)})
 	}
 	clear(q.waiting[len(remaining):])
 	q.waiting = remaining
+	for _, refusal := range slices.Backward(refused) {
+		q.refund(refusal.Ticket)
+	}
 	return refused
 }
 
-// predictWait returns the expected wait of a request that has the given number
-// of requests ahead of it in the queue.
-func (q *Queue) predictWait(ahead int) time.Duration {
+// meets reports whether a request that waits for a time is predicted to complete before its
+// deadline and, if it has just arrived, to start in time.
+func (q *Queue) meets(ticket *Ticket, wait time.Duration, now time.Time) bool {
+	if q.options.RefuseOnlyWaiting && wait == 0 {
+		return true
+	}
+	if !ticket.accepted && !ticket.StartBy.IsZero() && now.Add(wait).After(ticket.StartBy) {
+		return false
+	}
+	return !now.Add(wait + q.durations.of(ticket.Kind)).After(ticket.Deadline)
+}
+
+// place is a place in the queue: the number of requests ahead of it, and that of those of its
+// priority.
+type place struct {
+	priority        int
+	ahead           int
+	aheadOfPriority int
+}
+
+// next returns the place for a request of a priority.
+func (p place) next(priority int) place {
+	if p.ahead > 0 && p.priority == priority {
+		return p
+	}
+	return place{priority: priority, ahead: p.ahead}
+}
+
+// predictWait returns the expected wait of a request at a place in the queue.
+func (q *Queue) predictWait(at place) time.Duration {
 	free := q.capacity - q.running
-	if ahead < free {
+	if at.ahead < free {
 		return 0
 	}
-	rounds := float64(ahead-max(0, free)+1) / float64(q.capacity)
-	return time.Duration(waitSafetyFactor * rounds * float64(q.serviceTime))
+	starts := q.shares.startsUntil(at.priority, float64(at.ahead-max(0, free)), at.aheadOfPriority)
+	return time.Duration(waitSafetyFactor * starts / float64(q.capacity) * float64(q.durations.mean))
+}
+
+// startDue starts the requests of priorities that have got less than their least share, whether
+// or not there is free capacity, and returns them. They are few, since their number is a share
+// of that of all requests.
+func (q *Queue) startDue() []*Ticket {
+	var started []*Ticket
+	for ticket := q.due(); ticket != nil; ticket = q.due() {
+		q.remove(ticket)
+		q.start(ticket)
+		started = append(started, ticket)
+	}
+	return started
+}
+
+// due returns the first request of a priority that has got less than its least share, or nil
+// if there is none.
+func (q *Queue) due() *Ticket {
+	for i, ticket := range q.waiting {
+		isFirst := i == 0 || q.waiting[i-1].Priority != ticket.Priority
+		if isFirst && q.shares.due(ticket.Priority) {
+			return ticket
+		}
+	}
+	return nil
 }
 
 // startWaiting moves requests from the front of the queue into the free capacity
@@ -179,9 +348,7 @@
 	for q.running < q.capacity && len(q.waiting) > 0 {
 		ticket := q.waiting[0]
 		q.waiting = q.waiting[1:]
-		q.running++
-		q.runningByAccount[ticket.account]++
-		q.virtualTime = max(q.virtualTime, ticket.virtualFinish-1/ticket.weight)
+		q.start(ticket)
 		started = append(started, ticket)
 	}
 	if len(q.waiting) == 0 && q.running == 0 {
@@ -191,6 +358,14 @@
 	return started
 }
 
+// start counts a request as running.
+func (q *Queue) start(ticket *Ticket) {
+	q.running++
+	q.runningByAccount[ticket.Account]++
+	q.virtualTime = max(q.virtualTime, ticket.virtualStart)
+	q.shares.start(ticket.Priority)
+}
+
 // Admitter is a Queue for concurrent use.
 type Admitter struct {
 	mu    sync.Mutex
@@ -198,21 +373,8 @@
 }
 
 // New returns an admitter that lets at most capacity requests run at once.
-func New(capacity int) *Admitter { return &Admitter{queue: NewQueue(capacity)} }
-
-// Request holds the properties of a request that admission depends on.
-type Request struct {
-	Account string
-	// Weight is the account's weight in fair queueing. A value that is not
-	// positive and finite counts as 1.
-	Weight float64
-	// Priority orders requests; higher values run first.
-	Priority int
-	// MaxParallel bounds the account's requests that run or wait at once; 0
-	// means no bound.
-	MaxParallel int
-	// Deadline is when the response must be complete.
-	Deadline time.Time
+func New(capacity int, options Options) *Admitter {
+	return &Admitter{queue: NewQueue(capacity, options)}
 }
 
 // Admit waits until the request may run. If the error is nil, the returned
@@ -220,19 +382,9 @@
 // the error is a *classifier.Error of kind RateLimited or DeadlineUnmet, and the
 // function must not be called.
 func (a *Admitter) Admit(ctx context.Context, request Request) (end func(), err error) {
-	weight := request.Weight
-	if !(weight > 0) || math.IsInf(weight, 0) {
-		weight = 1
-	}
-	ticket := &Ticket{
-		account:  request.Account,
-		weight:   weight,
-		priority: request.Priority,
-		deadline: request.Deadline,
-		result:   make(chan error, 1),
-	}
+	ticket := NewTicket(request)
 	a.mu.Lock()
-	a.notify(a.queue.Enqueue(ticket, request.MaxParallel, time.Now()))
+	a.notify(a.queue.Enqueue(ticket, time.Now()))
 	a.mu.Unlock()
 	select {
 	case err := <-ticket.result:
@@ -291,6 +443,16 @@
 	a.notify(nil, a.queue.startWaiting())
 }
 
+// SetLimit changes the number of requests that may run at once and whether requests may be
+// refused because of their deadlines. It starts and refuses waiting requests accordingly.
+func (a *Admitter) SetLimit(capacity int, refusing bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.queue.SetCapacity(capacity)
+	a.queue.SetRefusing(refusing)
+	a.notify(a.queue.Update(time.Now()))
+}
+
 // Load returns the number of running and of waiting requests.
 func (a *Admitter) Load() (running, waiting int) {
 	a.mu.Lock()
--- a/internal/admitter/admitter_test.go
+++ b/internal/admitter/admitter_test.go
@@ -57,7 +57,7 @@
 // submitAll submits all requests at once. It returns the highest number that ran
 // at once and the number that still ran or waited after all had ended.
 func submitAll(ctx context.Context, capacity int, submissions []*submission) (maxRunning, remaining int) {
-	a := admitter.New(capacity)
+	a := admitter.New(capacity, admitter.Options{})
 	var group sync.WaitGroup
 	var mu sync.Mutex
 	running := 0
@@ -93,7 +93,7 @@
 // predicted wait of the second one is longer than its deadline allows.
 func TestRequestThatCannotMeetItsDeadlineIsRefusedAtOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		a := admitter.New(1)
+		a := admitter.New(1, admitter.Options{})
 		if _, err := a.Admit(t.Context(), admitter.Request{Account: "a", Deadline: time.Now().Add(time.Minute)}); err != nil {
 			t.Fatalf("Admit() got error %v, want nil", err)
 		}
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -132,7 +132,7 @@
 		appenders:    map[string]*journaler.Appender{},
 		followers:    map[string]*journaler.Follower{},
 		watcher:      watcher.New(),
-		admitter:     admitter.New(config.MaxConcurrentRequests),
+		admitter:     admitter.New(config.MaxConcurrentRequests, admitter.Options{}),
 		metrics:      metrics.NewSet(),
 		dueChanges:   map[string]time.Time{},
 		killed:       make(chan struct{}),
