Delay or refuse what costs callers least under overload

Cause: with requests waiting at all endpoints of a service, a daemon sent less urgent requests beside urgent ones, and kept requests that could not meet their deadlines until these passed.

Change: before the first attempt a request passes the queue of its pool. It has a limit only while the pool is overloaded; then less urgent requests wait or are refused at once (deadline_unmet, 503, Retry-After within a fifth of the remaining time). In effect where routes declare a target latency. A deadline that passes in the queue is a refusal, not a timeout, since nothing was sent. Log lines, gauges and a histogram tell why.

--- a/internal/forwarder/counters.go
+++ b/internal/forwarder/counters.go
@@ -32,6 +32,8 @@
 	// of its stream, WholeResponse that to the end of any response.
 	FirstEvent    *metrics.Histogram
 	WholeResponse *metrics.Histogram
+	// AdmissionWait measures how long the requests of limited pools wait for room.
+	AdmissionWait *metrics.Histogram
 }
 
 // NewCounters registers the metrics in the set.
@@ -47,9 +49,16 @@
 		Served:         set.NewCounter("served_total"),
 		FirstEvent:     set.NewHistogram("first_event_seconds"),
 		WholeResponse:  set.NewHistogram("answer_seconds"),
+		AdmissionWait:  set.NewHistogram("admission_wait_seconds"),
 	}
 }
 
+// registerAdmission registers the gauges of admission control.
+func (c *Counters) registerAdmission(a *admission) {
+	c.set.NewGauge("limited_pools", func() float64 { limited, _ := a.counts(); return float64(limited) })
+	c.set.NewGauge("waiting_requests", func() float64 { _, waiting := a.counts(); return float64(waiting) })
+}
+
 // countByKind increments the counter of an event for an error kind.
 func (c *Counters) countByKind(event string, kind classifier.Kind) {
 	c.set.GetOrCreateCounter(event + `_total{kind="` + string(kind) + `"}`).Inc()
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -145,10 +145,15 @@
 // Forwarder is an http.Handler that serves the requests of clients.
 type Forwarder struct {
 	Dependencies
+	admission *admission
 }
 
 // New returns a forwarder.
-func New(dependencies Dependencies) *Forwarder { return &Forwarder{dependencies} }
+func New(dependencies Dependencies) *Forwarder {
+	f := &Forwarder{Dependencies: dependencies, admission: newAdmission(dependencies.Tracker, dependencies.Logger)}
+	dependencies.Counters.registerAdmission(f.admission)
+	return f
+}
 
 // call is the state of a request while it is served.
 type call struct {
@@ -217,7 +222,12 @@
 	defer cancel()
 	f.ControlPlane.RequestStarted(c.Session)
 	defer f.ControlPlane.RequestEnded(c.Session)
-	if err := c.run(ctx); err != nil {
+	end, err := c.awaitRoom(ctx)
+	defer end()
+	if err == nil {
+		err = c.run(ctx)
+	}
+	if err != nil {
 		c.fail(ctx, err)
 	}
 }
@@ -321,7 +331,7 @@
 		problem = classifier.Wrap(classifier.ClientDisconnected, problem, "the client disconnected")
 	case c.stopped():
 		problem = classifier.Wrap(classifier.Stopping, problem, "the instance stops").WithRetryAfter(notReadyRetryAfter)
-	case errors.Is(ctx.Err(), context.DeadlineExceeded) && problem.Kind != classifier.NoEndpoint:
+	case errors.Is(ctx.Err(), context.DeadlineExceeded) && problem.Kind != classifier.NoEndpoint && problem.Kind != classifier.DeadlineUnmet:
 		problem = classifier.Wrap(classifier.Timeout, problem, "the deadline passed")
 	}
 	if c.responseStarted {
--- a/internal/matcher/matcher.go
+++ b/internal/matcher/matcher.go
@@ -110,6 +110,17 @@
 	services       map[string]*Service
 	accountsByKey  map[string]*Account
 	accountCount   int
+	// demands holds what callers of each service want.
+	demands map[string]Demand
+}
+
+// Demand is what the callers of a service want, over all of its routes.
+type Demand struct {
+	// MostUrgent and LeastUrgent are the ends of the range of their priorities.
+	MostUrgent  int
+	LeastUrgent int
+	// TargetLatency is the shortest target latency, or 0 if there is none.
+	TargetLatency time.Duration
 }
 
 // NewTable returns the table of a declaration.
@@ -122,11 +133,13 @@
 		services:       map[string]*Service{},
 		accountsByKey:  map[string]*Account{},
 		accountCount:   len(declaration.Accounts),
+		demands:        map[string]Demand{},
 	}
 	for i := range declaration.Routes {
 		route := &declaration.Routes[i]
 		host := strings.ToLower(route.Host)
 		t.routesByHost[host] = append(t.routesByHost[host], route)
+		t.addDemand(route, declaration.Accounts)
 	}
 	for i := range declaration.Services {
 		t.services[declaration.Services[i].Name] = &declaration.Services[i]
@@ -140,6 +153,34 @@
 	return t
 }
 
+// addDemand adds a route to the demand for its service. The accounts' own priorities hold on all
+// routes.
+func (t *Table) addDemand(route *Route, accounts []Account) {
+	demand, found := t.demands[route.Service]
+	if !found {
+		demand = Demand{MostUrgent: max(0, route.Priority), LeastUrgent: max(0, route.Priority)}
+		for i := range accounts {
+			demand.includePriority(accounts[i].Priority)
+		}
+	}
+	demand.includePriority(route.Priority)
+	if route.TargetLatency > 0 && (demand.TargetLatency == 0 || route.TargetLatency < demand.TargetLatency) {
+		demand.TargetLatency = route.TargetLatency
+	}
+	t.demands[route.Service] = demand
+}
+
+// includePriority extends the range by a priority, unless it is negative.
+func (d *Demand) includePriority(priority int) {
+	if priority >= 0 {
+		d.MostUrgent = min(d.MostUrgent, priority)
+		d.LeastUrgent = max(d.LeastUrgent, priority)
+	}
+}
+
+// Demand returns what the callers of a service want.
+func (t *Table) Demand(service string) Demand { return t.demands[service] }
+
 // Route returns the host's route with the longest prefix of the path, or nil if
 // there is none.
 func (t *Table) Route(host, path string) *Route {
--- a/internal/matcher/matcher_test.go
+++ b/internal/matcher/matcher_test.go
@@ -3,6 +3,7 @@
 import (
 	"strings"
 	"testing"
+	"time"
 
 	"pgregory.net/rapid"
 
@@ -77,3 +78,33 @@
 		}
 	})
 }
+
+// TestDemand guards against admission control that takes a service for one without priorities,
+// or measures its endpoints against the target latency of another one.
+func TestDemand(t *testing.T) {
+	routes := []matcher.Route{
+		{Name: "draft", Service: "engine", Priority: 1, TargetLatency: 3 * time.Second},
+		{Name: "report", Service: "engine", Priority: 2, TargetLatency: 2 * time.Second},
+		{Name: "notes", Service: "engine", Priority: 2},
+		{Name: "book", Service: "ledger", Priority: 2, TargetLatency: 120 * time.Millisecond},
+	}
+	rows := map[string]struct {
+		accounts []matcher.Account
+		service  string
+		want     matcher.Demand
+	}{
+		"several routes":        {nil, "engine", matcher.Demand{MostUrgent: 1, LeastUrgent: 2, TargetLatency: 2 * time.Second}},
+		"one route":             {nil, "ledger", matcher.Demand{MostUrgent: 2, LeastUrgent: 2, TargetLatency: 120 * time.Millisecond}},
+		"account of its own":    {[]matcher.Account{{Name: "office", Priority: 0}}, "ledger", matcher.Demand{MostUrgent: 0, LeastUrgent: 2, TargetLatency: 120 * time.Millisecond}},
+		"account without one":   {[]matcher.Account{{Name: "office", Priority: -1}}, "ledger", matcher.Demand{MostUrgent: 2, LeastUrgent: 2, TargetLatency: 120 * time.Millisecond}},
+		"service without route": {nil, "other", matcher.Demand{}},
+	}
+	for name, row := range rows {
+		t.Run(name, func(t *testing.T) {
+			table := matcher.NewTable(matcher.Declaration{Routes: routes, Accounts: row.accounts})
+			if got := table.Demand(row.service); got != row.want {
+				t.Errorf("Demand(%q) got %+v, want %+v", row.service, got, row.want)
+			}
+		})
+	}
+}
