Measure waits at endpoints by the daemon's own requests

Cause: the limit began by the tracker's estimate of the wait, which assumes 300 ms for a service's first requests and counts the wait at an endpoint twice, so short requests of a plain service could be held with endpoints hardly loaded. Requests that no endpoint executed made the mean duration shorter. A queue bounded by deadlines alone made all responses late.

Change: the wait is the share of the mean duration that is not spent in a slot; 2.5 requests for each slot count as overload whatever the wait. Only executed requests count for the mean. At its arrival a request is also refused if others are ahead and it would wait for more than three quarters of its target latency. Nothing is refused below 1.25 requests for each slot, since reports are up to half a second old. Room no longer tells a wait.

--- a/internal/admitter/admitter.go
+++ b/internal/admitter/admitter.go
@@ -28,7 +28,8 @@
 	// Deadline is when the response must be complete.
 	Deadline time.Time
 	// StartBy is when the request should start at the latest, or zero for no bound. It decides
-	// only at the arrival: a request that has waited may start later.
+	// only at the arrival, and only if others are ahead: what has waited, or is the next to
+	// start, may start later.
 	StartBy time.Time
 	// Kind groups requests that run for about the same time.
 	Kind string
@@ -168,14 +169,16 @@
 	Err    error
 }
 
-// Complete records that a request ended after it ran for the given time. It
-// returns the tickets to refuse and those to start.
+// Complete records that a request ended after it ran for the given time, or for 0 if
+// it was not executed. It returns the tickets to refuse and those to start.
 func (q *Queue) Complete(ticket *Ticket, took time.Duration, now time.Time) (refused []Refusal, started []*Ticket) {
 	q.running--
 	if q.runningByAccount[ticket.Account]--; q.runningByAccount[ticket.Account] == 0 {
 		delete(q.runningByAccount, ticket.Account)
 	}
-	q.durations.record(ticket.Kind, took)
+	if took > 0 {
+		q.durations.record(ticket.Kind, took)
+	}
 	return q.Update(now)
 }
 
@@ -220,6 +223,14 @@
 // Running returns the number of requests that are running.
 func (q *Queue) Running() int { return q.running }
 
+// MeanDuration returns the mean time that requests run, or 0 if none has completed.
+func (q *Queue) MeanDuration() time.Duration {
+	if !q.durations.known() {
+		return 0
+	}
+	return q.durations.mean
+}
+
 func (q *Queue) queuedFor(account string) int {
 	count := 0
 	for _, queued := range q.waiting {
@@ -262,7 +273,7 @@
 	for _, ticket := range q.waiting {
 		position = position.next(ticket.Priority)
 		wait := q.predictWait(position)
-		if q.meets(ticket, wait, now) {
+		if q.meets(ticket, position, wait, now) {
 			remaining = append(remaining, ticket)
 			position.ahead++
 			position.aheadOfPriority++
@@ -278,13 +289,13 @@
 	return refused
 }
 
-// meets reports whether a request that waits for a time is predicted to complete before its
+// meets reports whether a request that waits for a time at its place is predicted to complete before its
 // deadline and, if it has just arrived, to start in time.
-func (q *Queue) meets(ticket *Ticket, wait time.Duration, now time.Time) bool {
+func (q *Queue) meets(ticket *Ticket, at place, wait time.Duration, now time.Time) bool {
 	if q.options.RefuseOnlyWaiting && wait == 0 {
 		return true
 	}
-	if !ticket.accepted && !ticket.StartBy.IsZero() && now.Add(wait).After(ticket.StartBy) {
+	if !ticket.accepted && at.ahead > 0 && !ticket.StartBy.IsZero() && now.Add(wait).After(ticket.StartBy) {
 		return false
 	}
 	return !now.Add(wait + q.durations.of(ticket.Kind)).After(ticket.Deadline)
@@ -378,10 +389,10 @@
 }
 
 // Admit waits until the request may run. If the error is nil, the returned
-// function must be called when the request has ended. If the request is refused,
-// the error is a *classifier.Error of kind RateLimited or DeadlineUnmet, and the
-// function must not be called.
-func (a *Admitter) Admit(ctx context.Context, request Request) (end func(), err error) {
+// function must be called when the request has ended, with whether it was executed. If the
+// request is refused, the error is a *classifier.Error of kind RateLimited or DeadlineUnmet,
+// and the function must not be called.
+func (a *Admitter) Admit(ctx context.Context, request Request) (end func(executed bool), err error) {
 	ticket := NewTicket(request)
 	a.mu.Lock()
 	a.notify(a.queue.Enqueue(ticket, time.Now()))
@@ -402,7 +413,7 @@
 	a.mu.Unlock()
 	if !removed {
 		if err := <-ticket.result; err == nil {
-			a.completeFunc(ticket)()
+			a.completeFunc(ticket)(false)
 		}
 	}
 	return classifier.New(classifier.DeadlineUnmet, "the request was cancelled or reached its deadline while it waited").WithRetryAfter(time.Second)
@@ -410,15 +421,19 @@
 
 // completeFunc returns the function that ends a running request. Only its first
 // call has an effect.
-func (a *Admitter) completeFunc(ticket *Ticket) func() {
+func (a *Admitter) completeFunc(ticket *Ticket) func(executed bool) {
 	startedAt := time.Now()
 	var once sync.Once
-	return func() {
+	return func(executed bool) {
 		once.Do(func() {
 			a.mu.Lock()
 			defer a.mu.Unlock()
 			now := time.Now()
-			a.notify(a.queue.Complete(ticket, now.Sub(startedAt), now))
+			took := time.Duration(0)
+			if executed {
+				took = now.Sub(startedAt)
+			}
+			a.notify(a.queue.Complete(ticket, took, now))
 		})
 	}
 }
@@ -453,6 +468,13 @@
 	a.notify(a.queue.Update(time.Now()))
 }
 
+// MeanDuration returns the mean time that requests run, or 0 if none has completed.
+func (a *Admitter) MeanDuration() time.Duration {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.queue.MeanDuration()
+}
+
 // Load returns the number of running and of waiting requests.
 func (a *Admitter) Load() (running, waiting int) {
 	a.mu.Lock()
--- a/internal/admitter/property_test.go
+++ b/internal/admitter/property_test.go
@@ -200,3 +200,49 @@
 		}
 	})
 }
+
+// TestRefusalAtArrival guards against a queue in which all requests become late, against one that
+// refuses the next request to start, and against durations of requests that were not executed,
+// after which nothing seems to take time.
+func TestRefusalAtArrival(t *testing.T) {
+	h := newHarness(1, admitter.Options{RefuseOnlyWaiting: true})
+	soon := admitter.Request{Account: "a", Deadline: h.now.Add(time.Hour), StartBy: h.now.Add(500 * time.Millisecond)}
+	h.enqueue(soon)
+	h.complete(0)
+	h.enqueue(soon)
+	h.record(h.queue.Complete(h.running[0], 0, h.now))
+	h.running = nil
+	if got := h.queue.MeanDuration(); got != time.Second {
+		t.Errorf("MeanDuration() got %s, want 1s", got)
+	}
+	h.enqueue(soon)
+	h.enqueue(soon)
+	if got := h.queue.Waiting(); got != 1 {
+		t.Errorf("waiting requests got %d, want 1: the next one to start", got)
+	}
+	h.enqueue(soon)
+	if got := h.queue.Waiting(); got != 1 {
+		t.Errorf("waiting requests got %d, want 1 without the one that would start too late", got)
+	}
+}
+
+// TestOvertakenRequestIsRefusedAtArrival guards against a less urgent request that waits until
+// shortly before its deadline and is refused then, because the more urgent ones that keep
+// arriving overtake it.
+func TestOvertakenRequestIsRefusedAtArrival(t *testing.T) {
+	h := newHarness(1, admitter.Options{MinServiceRatio: 1. / 3, RefuseOnlyWaiting: true})
+	urgent := admitter.Request{Account: "a", Deadline: h.now.Add(time.Hour)}
+	less := admitter.Request{Account: "b", Priority: -1, Deadline: h.now.Add(4 * time.Second)}
+	for range 8 {
+		h.enqueue(urgent)
+		h.complete(0)
+	}
+	h.enqueue(less)
+	h.complete(0)
+	h.enqueue(urgent)
+	h.enqueue(urgent)
+	h.enqueue(less)
+	if got := h.queue.Waiting(); got != 1 {
+		t.Errorf("waiting requests got %d, want 1 without the less urgent one", got)
+	}
+}
--- a/internal/forwarder/admission.go
+++ b/internal/forwarder/admission.go
@@ -27,7 +27,7 @@
 	minServiceRatio = 1. / 3
 	// maxWaitShare is the share of its target latency that a request may wait at the daemon. The
 	// rest is for the endpoint, where it waits too. More would make all responses late.
-	maxWaitShare = 0.5
+	maxWaitShare = 0.75
 	// promptTokenWork is the work of reading a token of the prompt, in that of generating one.
 	promptTokenWork = 0.25
 	// maxRetryShare is the share of the remaining time after which a refused client is asked
@@ -164,12 +164,12 @@
 	running, waiting := p.admitter.Load()
 	before := p.window.Limit()
 	limit := p.window.Observe(throttler.Sample{
-		KnownShare: room.KnownShare(),
-		LeastLoad:  room.LeastLoad,
-		LeastWait:  room.LeastWait,
-		Running:    running,
-		Waiting:    waiting,
-		Target:     p.target,
+		KnownShare:   room.KnownShare(),
+		LeastLoad:    room.LeastLoad,
+		MeanDuration: p.admitter.MeanDuration(),
+		Running:      running,
+		Waiting:      waiting,
+		Target:       p.target,
 	}, now)
 	if limit.Active != before.Active {
 		p.logChange(limit, room, running, waiting)
@@ -203,16 +203,27 @@
 		message = "endpoints are overloaded; less urgent requests wait"
 	}
 	p.logger.Info(message, "service", p.query.Service, "model", p.query.Model, "endpoints", room.Endpoints, "known", room.KnownEndpoints,
-		"slots", room.Slots, "requests", room.Requests, "least_load", room.LeastLoad, "least_wait", noter.FormatDuration(room.LeastWait),
+		"slots", room.Slots, "requests", room.Requests, "least_load", room.LeastLoad, "duration", noter.FormatDuration(p.admitter.MeanDuration()),
 		"limit", limit.Requests, "running", running, "waiting", waiting)
 }
 
+// runAdmitted runs the request once it may be sent to an endpoint, unless it is refused before.
+func (c *call) runAdmitted(ctx context.Context) *classifier.Error {
+	end, problem := c.awaitRoom(ctx)
+	if problem != nil {
+		return problem
+	}
+	// Of a request that no endpoint executed, the time says nothing about their load.
+	defer func() { end(c.possibleRuns > 0) }()
+	return c.run(ctx)
+}
+
 // awaitRoom waits until the request may be sent to an endpoint, or returns why it is refused. The
-// returned function must be called when the request has ended; it is never nil.
-func (c *call) awaitRoom(ctx context.Context) (end func(), problem *classifier.Error) {
+// returned function must be called when the request has ended, with whether it was executed.
+func (c *call) awaitRoom(ctx context.Context) (end func(executed bool), problem *classifier.Error) {
 	demand := c.view.Table.Demand(c.route.Service)
 	if demand.TargetLatency <= 0 {
-		return func() {}, nil
+		return func(bool) {}, nil
 	}
 	p := c.admission.pool(c.query(c.model()), demand.TargetLatency)
 	limit := p.limit()
@@ -225,7 +236,7 @@
 		c.recordWait(waited, limit)
 	}
 	if err != nil {
-		return func() {}, c.refusal(err)
+		return nil, c.refusal(err)
 	}
 	return end, nil
 }
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -222,12 +222,7 @@
 	defer cancel()
 	f.ControlPlane.RequestStarted(c.Session)
 	defer f.ControlPlane.RequestEnded(c.Session)
-	end, err := c.awaitRoom(ctx)
-	defer end()
-	if err == nil {
-		err = c.run(ctx)
-	}
-	if err != nil {
+	if err := c.runAdmitted(ctx); err != nil {
 		c.fail(ctx, err)
 	}
 }
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -161,13 +161,17 @@
 		return func() {}, nil
 	}
 	deadline, _ := ctx.Deadline()
-	return r.config.Admitter.Admit(ctx, admitter.Request{
+	end, err := r.config.Admitter.Admit(ctx, admitter.Request{
 		Account:     account.Name,
 		Weight:      account.Policy.Weight,
 		Priority:    account.Policy.Priority,
 		MaxParallel: account.Policy.MaxParallel,
 		Deadline:    deadline,
 	})
+	if err != nil {
+		return nil, err
+	}
+	return func() { end(true) }, nil
 }
 
 // pickEndpoint chooses an endpoint of the pool and counts the attempt as in
--- a/internal/throttler/throttler.go
+++ b/internal/throttler/throttler.go
@@ -12,10 +12,11 @@
 type Sample struct {
 	// KnownShare is the share of the endpoints whose load recent reports tell.
 	KnownShare float64
-	// LeastLoad is the least number of requests for each slot at one of these endpoints, and
-	// LeastWait the least expected wait for a slot at one of them.
+	// LeastLoad is the least number of requests for each slot at one of these endpoints.
 	LeastLoad float64
-	LeastWait time.Duration
+	// MeanDuration is how long the daemon's requests take at the endpoints, including the wait
+	// there, or 0 if unknown.
+	MeanDuration time.Duration
 	// Running is the number of the daemon's requests at the endpoints, Waiting that of those
 	// that wait at the daemon.
 	Running int
@@ -28,29 +29,43 @@
 	// minKnownShare is the share of the endpoints whose load has to be known. An endpoint
 	// that hangs reports no load and is no room either.
 	minKnownShare = 0.9
-	// busyLoad is the load of the least loaded endpoint from which all are overloaded. Up to
-	// it, an endpoint's own queue is short enough to keep its slots in use and no more.
+	// busyLoad is the load of the least loaded endpoint from which requests wait at all of
+	// them. Up to it, an endpoint's own queue is short enough to keep its slots in use and no
+	// more.
 	busyLoad = 1.5
-	// fullLoad is the load from which the most urgent requests wait too, because endpoints
-	// may turn them away.
+	// fullLoad is the load from which endpoints may turn requests away, also the most urgent
+	// ones.
 	fullLoad = 2.5
+	// refuseLoad is the load from which requests may be refused. Reports are up to a
+	// reportInterval old, and below it an endpoint may have a free slot by now.
+	refuseLoad = 1.25
 	// freeLoad is the load below which an endpoint has a free slot.
 	freeLoad = 1
-	// busyTargetShare is the share of the target latency that a request waits at each endpoint
-	// of an overloaded pool.
-	busyTargetShare = 0.5
+	// waitShare is the share of the target latency that a request waits at each endpoint of an
+	// overloaded pool.
+	waitShare = 0.25
 )
 
 // known reports whether recent reports tell enough for a decision.
 func (s Sample) known() bool { return s.KnownShare >= minKnownShare }
 
 // busy reports whether requests wait at all endpoints.
-func (s Sample) busy() bool {
-	return s.LeastLoad >= busyLoad && s.LeastWait >= time.Duration(busyTargetShare*float64(s.Target))
-}
+func (s Sample) busy() bool { return s.LeastLoad >= busyLoad }
 
 // full reports whether all endpoints may turn the next request away.
-func (s Sample) full() bool { return s.LeastLoad >= fullLoad && s.busy() }
+func (s Sample) full() bool { return s.LeastLoad >= fullLoad }
+
+// overloaded reports whether the waits at the endpoints call for a limit: they make responses late,
+// or endpoints may turn requests away.
+func (s Sample) overloaded() bool {
+	return s.full() || s.busy() && s.leastWait() >= time.Duration(waitShare*float64(s.Target))
+}
+
+// leastWait returns the wait for a slot at the least loaded endpoint: the share of the duration
+// that is not spent in a slot.
+func (s Sample) leastWait() time.Duration {
+	return time.Duration((1 - 1/max(1, s.LeastLoad)) * float64(s.MeanDuration))
+}
 
 // hasRoom reports whether an endpoint has a free slot.
 func (s Sample) hasRoom() bool { return s.LeastLoad < freeLoad }
@@ -63,7 +78,7 @@
 	Requests int
 	// MostUrgent is set if the limit holds for the most urgent requests too.
 	MostUrgent bool
-	// MayRefuse is set if requests may be refused: no endpoint has a free slot.
+	// MayRefuse is set if requests may be refused: no endpoint can have a free slot.
 	MayRefuse bool
 }
 
@@ -90,13 +105,13 @@
 // not safe for concurrent use.
 type Window struct {
 	limit float64
-	// busySince is when the overload began that has not led to a limit yet, calmSince when
+	// overloadedSince is when the overload began that has not led to a limit yet, calmSince when
 	// the state began that ends the limit. Both are zero if there is no such state.
-	busySince time.Time
-	calmSince time.Time
+	overloadedSince time.Time
+	calmSince       time.Time
 	// changedAt is when the limit was last changed.
 	changedAt time.Time
-	// peak is the highest number of running requests since busySince.
+	// peak is the highest number of running requests since overloadedSince.
 	peak int
 	// state is the latest decision.
 	state Limit
@@ -124,15 +139,15 @@
 // watch starts the limit once the overload has lasted for a reportInterval, so that it shows in
 // two reports of each endpoint.
 func (w *Window) watch(sample Sample, now time.Time) {
-	if !sample.busy() {
+	if !sample.overloaded() {
 		*w = Window{}
 		return
 	}
-	if w.busySince.IsZero() {
-		w.busySince = now
+	if w.overloadedSince.IsZero() {
+		w.overloadedSince = now
 	}
 	w.peak = max(w.peak, sample.Running)
-	if now.Sub(w.busySince) < reportInterval {
+	if now.Sub(w.overloadedSince) < reportInterval {
 		return
 	}
 	*w = Window{limit: float64(max(1, w.peak)), changedAt: now}
@@ -187,6 +202,6 @@
 		Active:     true,
 		Requests:   int(w.limit),
 		MostUrgent: sample.full() || w.state.MostUrgent && sample.busy(),
-		MayRefuse:  !sample.hasRoom(),
+		MayRefuse:  sample.LeastLoad >= refuseLoad,
 	}
 }
--- a/internal/tracker/room.go
+++ b/internal/tracker/room.go
@@ -1,7 +1,5 @@
 package tracker
 
-import "time"
-
 // Room is what this daemon knows of the load of the endpoints that may get a query.
 type Room struct {
 	// Endpoints is the number of endpoints that may get the query, and Slots their slots.
@@ -14,9 +12,6 @@
 	Requests int
 	// LeastLoad is the least number of requests for each slot that one of them has.
 	LeastLoad float64
-	// LeastWait is the least time until one of them is expected to have a slot for one more
-	// request.
-	LeastWait time.Duration
 }
 
 // KnownShare returns the share of the endpoints whose load a recent report tells.
@@ -47,13 +42,9 @@
 			continue
 		}
 		load := float64(candidate.Load) / float64(endpoint.Slots)
-		wait := t.slotWait(endpoint, candidate.Load)
 		if room.KnownEndpoints == 0 || load < room.LeastLoad {
 			room.LeastLoad = load
 		}
-		if room.KnownEndpoints == 0 || wait < room.LeastWait {
-			room.LeastWait = wait
-		}
 		room.KnownEndpoints++
 		room.Requests += candidate.Load
 	}
