Order waiting requests without their own work

Cause: the queue ordered the requests of a priority by their virtual finish time, in which a large request counts three times the average. Of accounts with few requests each, a large one was behind the small ones of all others, expected to wait too long, and refused at its arrival. Change: the place follows the virtual start time and average work. The work still delays the next requests of the account.

--- a/internal/admitter/admitter.go
+++ b/internal/admitter/admitter.go
@@ -52,9 +52,11 @@
 type Ticket struct {
 	Request
 	// virtualStart and virtualFinish are the virtual times of weighted fair queueing.
-	// virtualFinish orders the requests of one priority.
 	virtualStart  float64
 	virtualFinish float64
+	// rank orders the requests of one priority. It is the virtual finish time of a request of
+	// average work, so that a large request delays the next ones of its account and not itself.
+	rank float64
 	// accepted is set once the request has been let into the queue.
 	accepted bool
 	// result receives nil when the request may run, or the reason for refusal.
@@ -138,6 +140,7 @@
 	}
 	ticket.virtualStart = max(q.virtualTime, q.lastFinish[ticket.Account])
 	ticket.virtualFinish = ticket.virtualStart + q.relativeWork(ticket.Work)/ticket.weight()
+	ticket.rank = ticket.virtualStart + 1/ticket.weight()
 	q.lastFinish[ticket.Account] = ticket.virtualFinish
 	q.shares.arrive(ticket.Priority)
 	if ticket.Immediate {
@@ -241,8 +244,7 @@
 	return count
 }
 
-// insert adds a ticket at its position: by priority, the highest first, then by
-// virtual finish time.
+// insert adds a ticket at its position: by priority, the highest first, then by rank.
 func (q *Queue) insert(ticket *Ticket) {
 	position := len(q.waiting)
 	for position > 0 && before(ticket, q.waiting[position-1]) {
@@ -255,7 +257,7 @@
 	if a.Priority != b.Priority {
 		return a.Priority > b.Priority
 	}
-	return a.virtualFinish < b.virtualFinish
+	return a.rank < b.rank
 }
 
 // shed removes and returns the requests that are predicted to complete after
--- a/internal/admitter/overload_test.go
+++ b/internal/admitter/overload_test.go
@@ -1,6 +1,7 @@
 package admitter_test
 
 import (
+	"fmt"
 	"maps"
 	"math"
 	"math/rand/v2"
@@ -418,6 +419,44 @@
 // crowd out. The rest is refused by endpoints before the overload is known.
 const minSpared = 0.95
 
+// minSizeRatio is the least share of the requests of one size that is served, in relation to that of
+// all. Below it, callers with large requests are kept out.
+const minSizeRatio = 0.5
+
+// TestSizesOfManyAccounts guards against an overload that falls on the large requests alone, because
+// each account has so few requests that a large one is always behind the small ones of others.
+func TestSizesOfManyAccounts(t *testing.T) {
+	rows := map[string]int{"one account": 1, "some accounts": 20, "many accounts": 100}
+	sizes := map[string]struct {
+		perSecond float64
+		runs      time.Duration
+		work      float64
+	}{
+		"small":  {91, 500 * time.Millisecond, 1000},
+		"medium": {26, time.Second, 4000},
+		"large":  {13, 2 * time.Second, 10000},
+	}
+	for name, accounts := range rows {
+		t.Run(name, func(t *testing.T) {
+			var streams []stream
+			for i := range accounts {
+				for _, size := range slices.Sorted(maps.Keys(sizes)) {
+					streams = append(streams, stream{name: size, account: fmt.Sprint(i), priority: 1, perSecond: sizes[size].perSecond / float64(accounts),
+						runs: sizes[size].runs, work: sizes[size].work, target: 3 * time.Second, deadline: 6 * time.Second})
+				}
+			}
+			with := play(fullControl, modelEndpoints, streams)
+			with.log(t)
+			all := with.total()
+			for size, got := range with.results {
+				if got.served() < minSizeRatio*all.served() {
+					t.Errorf("share of %s requests served got %.2f, want at least %.2f of %.2f", size, got.served(), minSizeRatio, all.served())
+				}
+			}
+		})
+	}
+}
+
 // TestRepeatsAtOnce guards against clients that gain by repeating refused requests at once: of two
 // accounts with the same requests, the one that repeats gets no more of them served, but for what
 // it gets before the overload is known.
