Tell engines the priority of requests whose model the client has chosen

Cause: requests with a model of the client's choice went without a priority, which an engine reads as 5. Change: such a request has the priority of a later step of a cascade, as before, when both were 5.

--- a/internal/forwarder/size.go
+++ b/internal/forwarder/size.go
@@ -107,13 +107,13 @@
 
 // enginePriority returns the request's priority at the endpoint, or a negative
 // value for none. The declared priority orders requests first, the step of the cascade
-// those of one declared priority.
+// those of one declared priority. A model that the client has chosen counts as a later step.
 func (c *call) enginePriority() int {
-	if !c.AnyModel || len(c.route.Models) == 0 {
+	if len(c.route.Models) == 0 {
 		return -1
 	}
 	mostUrgentStep := stepsPerPriority * min(c.priority(), enginePriorities/stepsPerPriority-1)
-	if c.size == 0 {
+	if c.AnyModel && c.size == 0 {
 		return mostUrgentStep
 	}
 	return mostUrgentStep + 1
