Watch an overload between requests before it becomes a limit

Cause: while a pool is not limited its load was computed for arriving requests only. A daemon with a request now and then took two separate moments of overload, seconds apart, for one that lasts, and limited itself to the requests it had then. Change: the load is computed every 100 ms while an overload is watched, too.

--- a/internal/forwarder/admission.go
+++ b/internal/forwarder/admission.go
@@ -18,7 +18,7 @@
 const (
 	// observeInterval bounds how often the load of a pool is computed for arriving requests.
 	observeInterval = 50 * time.Millisecond
-	// updateInterval is the time between decisions while a pool is limited.
+	// updateInterval is the time between decisions while a pool is overloaded.
 	updateInterval = 100 * time.Millisecond
 	// unlimited is the capacity of a pool without a limit.
 	unlimited = math.MaxInt32
@@ -176,10 +176,12 @@
 	}
 	if limit.Active {
 		p.admitter.SetLimit(limit.Requests, limit.MayRefuse)
-		p.scheduleUpdate()
 	} else if before.Active {
 		p.admitter.SetLimit(unlimited, false)
 	}
+	if limit.Active || p.window.Watching() {
+		p.scheduleUpdate()
+	}
 }
 
 // scheduleUpdate has the limit updated in updateInterval, since neither requests nor responses
--- a/internal/throttler/throttler.go
+++ b/internal/throttler/throttler.go
@@ -123,6 +123,9 @@
 // Limit returns the latest decision.
 func (w *Window) Limit() Limit { return w.state }
 
+// Watching reports whether there is an overload that has not led to a limit yet.
+func (w *Window) Watching() bool { return !w.overloadedSince.IsZero() }
+
 // Observe updates the limit for what the daemon sees at a time, and returns it.
 func (w *Window) Observe(sample Sample, now time.Time) Limit {
 	switch {
