Send what waits at a stopping daemon at once

Cause: only requests that arrived after the stop passed the limit. Those that waited for room when it came stayed in the queue until the limit let them start or the daemon ended them. The log line at the end of a limit said that endpoints have room also where the reports had stopped; it says now that no overload is known.

--- a/internal/forwarder/admission.go
+++ b/internal/forwarder/admission.go
@@ -51,13 +51,15 @@
 // while there is too little room (docs/design/ADMISSION.md). It is safe for concurrent use.
 type admission struct {
 	tracker *tracker.Tracker
-	logger  hclog.Logger
-	mu      sync.Mutex
-	pools   map[poolKey]*pool
+	// stopping reports whether the daemon stops.
+	stopping func() bool
+	logger   hclog.Logger
+	mu       sync.Mutex
+	pools    map[poolKey]*pool
 }
 
-func newAdmission(tracker *tracker.Tracker, logger hclog.Logger) *admission {
-	return &admission{tracker: tracker, logger: logger, pools: map[poolKey]*pool{}}
+func newAdmission(tracker *tracker.Tracker, stopping func() bool, logger hclog.Logger) *admission {
+	return &admission{tracker: tracker, stopping: stopping, logger: logger, pools: map[poolKey]*pool{}}
 }
 
 // pool returns the pool of the endpoints that may get a query, whose callers want a response to
@@ -70,7 +72,7 @@
 	p := a.pools[key]
 	if p == nil {
 		a.removeUnused(now)
-		p = newPool(a.tracker, a.logger)
+		p = newPool(a.tracker, a.stopping, a.logger)
 		a.pools[key] = p
 	}
 	p.usedAt = now
@@ -106,6 +108,7 @@
 // pool holds the requests that compete for the same endpoints.
 type pool struct {
 	tracker  *tracker.Tracker
+	stopping func() bool
 	logger   hclog.Logger
 	admitter *admitter.Admitter
 	// usedAt is when a request last used the pool. It is guarded by the admission's lock.
@@ -121,9 +124,9 @@
 	updating bool
 }
 
-func newPool(tracker *tracker.Tracker, logger hclog.Logger) *pool {
+func newPool(tracker *tracker.Tracker, stopping func() bool, logger hclog.Logger) *pool {
 	options := admitter.Options{MinServiceRatio: minServiceRatio, RefuseOnlyWaiting: true}
-	return &pool{tracker: tracker, logger: logger, window: throttler.NewWindow(), admitter: admitter.New(unlimited, options)}
+	return &pool{tracker: tracker, stopping: stopping, logger: logger, window: throttler.NewWindow(), admitter: admitter.New(unlimited, options)}
 }
 
 // setQuery sets what is asked of the tracker about the pool's load.
@@ -160,7 +163,11 @@
 func (p *pool) observe() {
 	now := time.Now()
 	p.observedAt = now
-	room := p.tracker.Room(p.query)
+	// The requests of a stopping daemon have to end soon, so it knows of no load and has no limit.
+	var room tracker.Room
+	if !p.stopping() {
+		room = p.tracker.Room(p.query)
+	}
 	running, waiting := p.admitter.Load()
 	before := p.window.Limit()
 	limit := p.window.Observe(throttler.Sample{
@@ -200,7 +207,7 @@
 }
 
 func (p *pool) logChange(limit throttler.Limit, room tracker.Room, running, waiting int) {
-	message := "endpoints have room again; requests no longer wait"
+	message := "endpoints are no longer known to be overloaded; requests do not wait"
 	if limit.Active {
 		message = "endpoints are overloaded; less urgent requests wait"
 	}
--- a/internal/forwarder/admission_test.go
+++ b/internal/forwarder/admission_test.go
@@ -3,12 +3,14 @@
 import (
 	"math/rand/v2"
 	"net/netip"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
 
+	"quetzalgrade.example/quetzalgrade/internal/admitter"
 	"quetzalgrade.example/quetzalgrade/internal/tracker"
 )
 
@@ -23,7 +25,7 @@
 	logger := hclog.NewNullLogger()
 	tr := tracker.New("a", rand.New(rand.NewPCG(1, 2)), time.Now, logger)
 	tr.Put(tracker.Registration{ID: "e", Service: "engine", Zone: "a", Version: "v1", Slots: 8, Address: netip.MustParseAddrPort("10.0.0.1:80"), Started: time.Now()})
-	return newAdmission(tr, logger).pool(tracker.Query{Service: "engine"}, time.Second)
+	return newAdmission(tr, func() bool { return false }, logger).pool(tracker.Query{Service: "engine"}, time.Second)
 }
 
 // reportLoad has the endpoint report a load for a time.
@@ -35,6 +37,41 @@
 	}
 }
 
+// TestStopEndsLimit guards against a stopping daemon that holds a request back for room until it has
+// to end it.
+func TestStopEndsLimit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newTestPool()
+		var stopping atomic.Bool
+		p.stopping = stopping.Load
+		p.limit()
+		reportLoad(p, fullLoad, time.Second)
+		p.limit()
+		reportLoad(p, fullLoad, time.Second)
+		if got := p.limit(); !got.Active {
+			t.Fatalf("limit() got %+v after a second of overload, want a limit", got)
+		}
+		request := admitter.Request{Deadline: time.Now().Add(time.Hour)}
+		started := make(chan struct{}, 2)
+		for range cap(started) {
+			go func() {
+				if _, err := p.admitter.Admit(t.Context(), request); err == nil {
+					started <- struct{}{}
+				}
+			}()
+		}
+		reportLoad(p, fullLoad, time.Second)
+		if got := len(started); got != 1 {
+			t.Errorf("started requests got %d, want 1 within the limit", got)
+		}
+		stopping.Store(true)
+		reportLoad(p, fullLoad, 200*time.Millisecond)
+		if got := len(started); got != cap(started) {
+			t.Errorf("started requests got %d of a stopping daemon, want %d", got, cap(started))
+		}
+	})
+}
+
 // TestSeparateMomentsOfOverload guards against a daemon with few requests that limits them because
 // two of them, some time apart, came at moments of overload.
 func TestSeparateMomentsOfOverload(t *testing.T) {
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -150,7 +150,8 @@
 
 // New returns a forwarder.
 func New(dependencies Dependencies) *Forwarder {
-	f := &Forwarder{Dependencies: dependencies, admission: newAdmission(dependencies.Tracker, dependencies.Logger)}
+	stopping := func() bool { return dependencies.ControlPlane.View().Draining }
+	f := &Forwarder{Dependencies: dependencies, admission: newAdmission(dependencies.Tracker, stopping, dependencies.Logger)}
 	dependencies.Counters.registerAdmission(f.admission)
 	return f
 }
