Start a least share of the requests of each route

Cause: a route whose requests run for about half of the time they have was refused nearly whole under a limit, since any wait made them late. The least share held for priorities only, so others of the same priority took all starts. Change: the least share holds for each kind of request (route) too.

--- a/internal/admitter/admitter.go
+++ b/internal/admitter/admitter.go
@@ -31,7 +31,7 @@
 	// only at the arrival, and only if others are ahead: what has waited, or is the next to
 	// start, may start later.
 	StartBy time.Time
-	// Kind groups requests that run for about the same time.
+	// Kind groups requests that run for about the same time, such as those of a route.
 	Kind string
 	// Work is the expected work of the request, in any unit, or 0 if unknown. It counts
 	// against the account's share and is no reason for a refusal.
@@ -70,8 +70,9 @@
 
 // Options vary the decisions of a queue.
 type Options struct {
-	// MinServiceRatio is the least share of the requests of each priority that is started,
-	// in relation to that of all requests. With 0, lower priorities may get nothing.
+	// MinServiceRatio is the least share of the requests of each priority, and of each kind,
+	// that is started, in relation to that of all requests. With 0, lower priorities and
+	// kinds with little time may get nothing.
 	MinServiceRatio float64
 	// RefuseOnlyWaiting is set if a request is refused only if it has to wait, and only once
 	// the time that requests run is known.
@@ -93,7 +94,8 @@
 	// lastFinish holds the virtual finish time of each account's newest request.
 	lastFinish map[string]float64
 	durations  *durations
-	shares     *shares
+	priorities *shares[int]
+	kinds      *shares[string]
 	// meanWork is the moving average of the work of requests.
 	meanWork float64
 }
@@ -119,7 +121,8 @@
 		runningByAccount: map[string]int{},
 		lastFinish:       map[string]float64{},
 		durations:        newDurations(),
-		shares:           newShares(options.MinServiceRatio),
+		priorities:       newShares[int](options.MinServiceRatio),
+		kinds:            newShares[string](options.MinServiceRatio),
 	}
 }
 
@@ -142,7 +145,8 @@
 	ticket.virtualFinish = ticket.virtualStart + q.relativeWork(ticket.Work)/ticket.weight()
 	ticket.rank = ticket.virtualStart + 1/ticket.weight()
 	q.lastFinish[ticket.Account] = ticket.virtualFinish
-	q.shares.arrive(ticket.Priority)
+	q.priorities.arrive(ticket.Priority)
+	q.kinds.arrive(ticket.Kind)
 	if ticket.Immediate {
 		q.start(ticket)
 		started = append(started, ticket)
@@ -325,11 +329,11 @@
 	if at.ahead < free {
 		return 0
 	}
-	starts := q.shares.startsUntil(at.priority, float64(at.ahead-max(0, free)), at.aheadOfPriority)
+	starts := startsUntil(q.priorities, at.priority, float64(at.ahead-max(0, free)), at.aheadOfPriority)
 	return time.Duration(waitSafetyFactor * starts / float64(q.capacity) * float64(q.durations.mean))
 }
 
-// startDue starts the requests of priorities that have got less than their least share, whether
+// startDue starts the requests of priorities and kinds that have got less than their least share, whether
 // or not there is free capacity, and returns them. They are few, since their number is a share
 // of that of all requests.
 func (q *Queue) startDue() []*Ticket {
@@ -342,12 +346,11 @@
 	return started
 }
 
-// due returns the first request of a priority that has got less than its least share, or nil
-// if there is none.
+// due returns the first request of a priority or kind that has got less than its least share, or
+// nil if there is none.
 func (q *Queue) due() *Ticket {
-	for i, ticket := range q.waiting {
-		isFirst := i == 0 || q.waiting[i-1].Priority != ticket.Priority
-		if isFirst && q.shares.due(ticket.Priority) {
+	for _, ticket := range q.waiting {
+		if q.priorities.due(ticket.Priority) || q.kinds.due(ticket.Kind) {
 			return ticket
 		}
 	}
@@ -376,7 +379,8 @@
 	q.running++
 	q.runningByAccount[ticket.Account]++
 	q.virtualTime = max(q.virtualTime, ticket.virtualStart)
-	q.shares.start(ticket.Priority)
+	q.priorities.start(ticket.Priority)
+	q.kinds.start(ticket.Kind)
 }
 
 // Admitter is a Queue for concurrent use.
--- a/internal/admitter/overload_test.go
+++ b/internal/admitter/overload_test.go
@@ -369,6 +369,11 @@
 	return stream{name: name, account: name, priority: 1, perSecond: 40 / runs.Seconds(), runs: runs, work: work, target: 3 * time.Second, deadline: 12 * time.Second}
 }
 
+// hurried returns a stream of which each request has a deadline of its own kind.
+func hurried(name string, perSecond float64, runs, deadline time.Duration) stream {
+	return stream{name: name, account: "h", priority: 1, perSecond: perSecond, runs: runs, target: 2 * time.Second, deadline: deadline}
+}
+
 // minServedRatio is the least share of the requests of any stream that is served, in relation to
 // that of all. Below it, callers take a stream for out of service.
 const minServedRatio = 0.25
@@ -387,6 +392,7 @@
 		"burst of urgent requests":    {8, []stream{reports(25, 3), drafts("draft", "b", 30, 0), notes(10)}, []string{"report"}},
 		"half of the pool gone":       {4, []stream{reports(20, 0), drafts("draft", "b", 30, 0), notes(10)}, []string{"report"}},
 		"surge of one account":        {8, []stream{reports(20, 0), drafts("draft", "b", 30, 0), drafts("surging", "s", 20, 10), notes(5)}, []string{"report", "draft"}},
+		"little time for one kind":    {8, []stream{hurried("hurried", 10, time.Second, 2*time.Second), hurried("patient", 250, 300*time.Millisecond, 10*time.Second)}, nil},
 		"long prompts and short ones": {8, []stream{sized("long", 3*time.Second, 24000), sized("short", 300*time.Millisecond, 400)}, nil},
 	}
 	for name, row := range rows {
--- a/internal/admitter/share.go
+++ b/internal/admitter/share.go
@@ -5,13 +5,14 @@
 // shareMemory is the number of arrivals after which older ones count half.
 const shareMemory = 64
 
-// shares counts by priority how many requests arrive and how many of them are started.
-type shares struct {
-	// minRatio is the least share of the requests of each priority that is started, in
-	// relation to that of all requests; 0 means no bound.
-	minRatio   float64
-	total      serviceCount
-	byPriority map[int]*serviceCount
+// shares counts by class, such as a priority, how many requests arrive and how many of them are
+// started.
+type shares[C comparable] struct {
+	// minRatio is the least share of the requests of each class that is started, in relation
+	// to that of all requests; 0 means no bound.
+	minRatio float64
+	total    serviceCount
+	byClass  map[C]*serviceCount
 }
 
 // serviceCount is a number of requests that arrived and of those that were started. Both decay.
@@ -20,35 +21,35 @@
 	started float64
 }
 
-func newShares(minRatio float64) *shares {
-	return &shares{minRatio: minRatio, byPriority: map[int]*serviceCount{}}
+func newShares[C comparable](minRatio float64) *shares[C] {
+	return &shares[C]{minRatio: minRatio, byClass: map[C]*serviceCount{}}
 }
 
 // arrive counts a request that arrived.
-func (s *shares) arrive(priority int) {
+func (s *shares[C]) arrive(class C) {
 	if s.minRatio <= 0 {
 		return
 	}
 	if s.total.arrived >= shareMemory {
 		s.decay()
 	}
-	count := s.byPriority[priority]
+	count := s.byClass[class]
 	if count == nil {
 		count = &serviceCount{}
-		s.byPriority[priority] = count
+		s.byClass[class] = count
 	}
 	count.arrived++
 	s.total.arrived++
 }
 
-// decay halves all counts, and drops the priorities that are hardly used.
-func (s *shares) decay() {
+// decay halves all counts, and drops the classes that are hardly used.
+func (s *shares[C]) decay() {
 	s.total = serviceCount{}
-	for priority, count := range s.byPriority {
+	for class, count := range s.byClass {
 		count.arrived /= 2
 		count.started /= 2
 		if count.arrived < 0.5 {
-			delete(s.byPriority, priority)
+			delete(s.byClass, class)
 			continue
 		}
 		s.total.arrived += count.arrived
@@ -57,16 +58,16 @@
 }
 
 // start counts a request that was started.
-func (s *shares) start(priority int) {
+func (s *shares[C]) start(class C) {
 	s.total.started++
-	if count := s.byPriority[priority]; count != nil {
+	if count := s.byClass[class]; count != nil {
 		count.started++
 	}
 }
 
-// due reports whether the priority has got less than its least share.
-func (s *shares) due(priority int) bool {
-	count := s.byPriority[priority]
+// due reports whether the class has got less than its least share.
+func (s *shares[C]) due(class C) bool {
+	count := s.byClass[class]
 	if count == nil || s.total.arrived == 0 {
 		return false
 	}
@@ -76,13 +77,13 @@
 // startsUntil returns after how many starts of any request one of a priority is expected to start
 // that has a number of others ahead of it, some of them of its own priority. More urgent ones
 // that arrive in the meantime overtake it, up to its least share.
-func (s *shares) startsUntil(priority int, ahead float64, aheadOfPriority int) float64 {
-	count := s.byPriority[priority]
+func startsUntil(s *shares[int], priority int, ahead float64, aheadOfPriority int) float64 {
+	count := s.byClass[priority]
 	if count == nil {
 		return ahead + 1
 	}
 	expected := math.Inf(1)
-	if overtaking := s.overtaking(priority); overtaking < 1 {
+	if overtaking := overtaking(s, priority); overtaking < 1 {
 		expected = (ahead + 1) / (1 - overtaking)
 	}
 	leastShare := s.minRatio * count.arrived / s.total.arrived
@@ -90,9 +91,9 @@
 }
 
 // overtaking returns the number of more urgent requests that arrive for each request started.
-func (s *shares) overtaking(priority int) float64 {
+func overtaking(s *shares[int], priority int) float64 {
 	arrived := 0.
-	for other, count := range s.byPriority {
+	for other, count := range s.byClass {
 		if other > priority {
 			arrived += count.arrived
 		}
--- a/internal/forwarder/admission.go
+++ b/internal/forwarder/admission.go
@@ -22,8 +22,8 @@
 	updateInterval = 100 * time.Millisecond
 	// unlimited is the capacity of a pool without a limit.
 	unlimited = math.MaxInt32
-	// minServiceRatio is the least share of the requests of each priority that is started, in
-	// relation to that of all requests. A priority with less counts as starved.
+	// minServiceRatio is the least share of the requests of each priority and route that is
+	// started, in relation to that of all requests. With less they count as starved.
 	minServiceRatio = 1. / 3
 	// maxWaitShare is the share of its target latency that a request may wait at the daemon. The
 	// rest is for the endpoint, where it waits too. More would make all responses late.
