--- a/internal/forwarder/size.go
+++ b/internal/forwarder/size.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"quetzalgrade.example/quetzalgrade/internal/matcher"
 	"quetzalgrade.example/quetzalgrade/internal/sizer"
 	"quetzalgrade.example/quetzalgrade/internal/tracker"
 )
@@ -93,11 +94,11 @@
 	// firstStepPriorities is the number of them that first steps of a cascade have. Such a
 	// step is short: behind a long prompt it would wait many times its own duration.
 	firstStepPriorities = 2
-	// routePriorities is the number of priorities of routes that are told apart within one
-	// priority of the client accounts.
-	routePriorities = 3
 )
 
+// rank returns the order of urgency of the request; 0 is the most urgent.
+func (c *call) rank() int { return matcher.Rank(c.route, c.account) }
+
 // enginePriority returns the request's priority at the endpoint, or a negative value for none.
 // First steps of a cascade come before all others. Among these, the priority of the client
 // account orders requests before that of the route. A model that the client has chosen counts
@@ -106,15 +107,10 @@
 	if len(c.route.Models) == 0 {
 		return -1
 	}
-	account := 0
-	if c.account != nil {
-		account = min(enginePriorities, max(0, c.account.Priority))
-	}
 	if c.AnyModel && c.size == 0 {
-		return min(firstStepPriorities-1, account)
+		return min(firstStepPriorities-1, c.rank()/matcher.RoutePriorities)
 	}
-	route := min(routePriorities-1, max(0, c.route.Priority))
-	return min(enginePriorities-1, firstStepPriorities+routePriorities*account+route)
+	return min(enginePriorities-1, firstStepPriorities+c.rank())
 }
 
 // expectedEvents returns the expected number of events of the response, or 0 if it is unknown.
--- a/internal/matcher/matcher.go
+++ b/internal/matcher/matcher.go
@@ -4,6 +4,7 @@
 package matcher
 
 import (
+	"math"
 	"strings"
 	"time"
 )
@@ -85,6 +86,25 @@
 	Priority int
 }
 
+const (
+	// RoutePriorities is the number of priorities of routes that are told apart within one
+	// priority of accounts. Those beyond count as the last one.
+	RoutePriorities = 3
+	// maxAccountPriority is the last priority of accounts that is told apart.
+	maxAccountPriority = 1000
+)
+
+// Rank returns the order of urgency of a route's requests from an account, from 0, the most
+// urgent. The priority of the account comes before that of the route. An account without one,
+// or no account, counts as the most urgent.
+func Rank(route *Route, account *Account) int {
+	rank := min(RoutePriorities-1, max(0, route.Priority))
+	if account != nil {
+		rank += RoutePriorities * min(maxAccountPriority, max(0, account.Priority))
+	}
+	return rank
+}
+
 // Limits bound what a client may send.
 type Limits struct {
 	MaxHeaderBytes int
@@ -118,6 +138,17 @@
 	services       map[string]*Service
 	accountsByKey  map[string]*Account
 	accountCount   int
+	// demands holds what callers of each service want.
+	demands map[string]Demand
+}
+
+// Demand is what the callers of a service want, over all of its routes.
+type Demand struct {
+	// MostUrgent and LeastUrgent are the ends of the range of their ranks.
+	MostUrgent  int
+	LeastUrgent int
+	// TargetLatency is the shortest target latency, or 0 if there is none.
+	TargetLatency time.Duration
 }
 
 // NewTable returns the table of a declaration.
@@ -130,11 +161,13 @@
 		services:       map[string]*Service{},
 		accountsByKey:  map[string]*Account{},
 		accountCount:   len(declaration.Accounts),
+		demands:        map[string]Demand{},
 	}
 	for i := range declaration.Routes {
 		route := &declaration.Routes[i]
 		host := strings.ToLower(route.Host)
 		t.routesByHost[host] = append(t.routesByHost[host], route)
+		t.addDemand(route, declaration.Accounts)
 	}
 	for i := range declaration.Services {
 		t.services[declaration.Services[i].Name] = &declaration.Services[i]
@@ -148,6 +181,33 @@
 	return t
 }
 
+// addDemand adds the requests of a route to the demand for its service.
+func (t *Table) addDemand(route *Route, accounts []Account) {
+	demand, found := t.demands[route.Service]
+	if !found {
+		demand = Demand{MostUrgent: math.MaxInt}
+	}
+	if len(accounts) == 0 || route.AllowAnonymous {
+		demand.include(Rank(route, nil))
+	}
+	for i := range accounts {
+		demand.include(Rank(route, &accounts[i]))
+	}
+	if route.TargetLatency > 0 && (demand.TargetLatency == 0 || route.TargetLatency < demand.TargetLatency) {
+		demand.TargetLatency = route.TargetLatency
+	}
+	t.demands[route.Service] = demand
+}
+
+// include extends the range by a rank.
+func (d *Demand) include(rank int) {
+	d.MostUrgent = min(d.MostUrgent, rank)
+	d.LeastUrgent = max(d.LeastUrgent, rank)
+}
+
+// Demand returns what the callers of a service want.
+func (t *Table) Demand(service string) Demand { return t.demands[service] }
+
 // Route returns the host's route with the longest prefix of the path, or nil if
 // there is none.
 func (t *Table) Route(host, path string) *Route {
