Send a request elsewhere when its endpoint does not respond in time

Cause: a request was waited for at its endpoint until the deadline, also at one that hangs while others are idle, and a stream that had fallen silent was not resumed. TargetEventGap was used by nothing. An endpoint that hangs has no backlog, so it attracted the next requests too. Change: the package supervisor decides, from plain values, whether a wait goes on; forwarder.watch ends the attempt's context with a cause of its own, which closes the connection before the next attempt. Only requests that may run again are moved, within MaxRuns, the retry budget less its reserve, and a budget of a tenth of the service's requests; not while most of them are late. The tracker sends such an endpoint one request at a time until it begins a response, without an ejection.

--- a/internal/exchanger/exchanger.go
+++ b/internal/exchanger/exchanger.go
@@ -208,7 +208,7 @@
 	stopWatch()
 	_ = connection.Close()
 	if ctx.Err() != nil {
-		err = ctx.Err()
+		err = context.Cause(ctx)
 	}
 	return &Failure{Stage: Sent, Err: err}
 }
--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -109,7 +109,8 @@
 
 // pick chooses an endpoint for the next attempt. It returns false if there is none.
 func (c *call) pick() (*tracker.Choice, bool) {
-	return c.Tracker.Pick(c.query(c.model()))
+	c.lastQuery = c.query(c.model())
+	return c.Tracker.Pick(c.lastQuery)
 }
 
 // query returns the criteria for choosing an endpoint that runs the model on this
@@ -132,7 +133,7 @@
 
 // recordResult reports the result of an attempt to the control plane.
 func (c *call) recordResult(choice *tracker.Choice, outcome Outcome, ttft, decodePace time.Duration) {
-	c.previouslyFailed = c.previouslyFailed || outcome == ServerError || outcome == Incomplete
+	c.previouslyFailed = c.previouslyFailed || outcome == ServerError || outcome == Incomplete || outcome == Overdue
 	c.ControlPlane.RecordResult(Result{
 		Service:      c.route.Service,
 		Version:      choice.Version,
@@ -199,7 +200,9 @@
 	if c.account != nil {
 		attempt.Account = c.account.Name
 	}
-	response, failure := c.Exchanger.Do(ctx, choice.Address, &exchanger.Request{
+	attemptCtx, watch := c.watch(ctx, choice)
+	defer watch.stop()
+	response, failure := c.Exchanger.Do(attemptCtx, choice.Address, &exchanger.Request{
 		Method: c.http.Method,
 		Target: c.http.RequestURI,
 		Host:   c.http.Host,
@@ -207,6 +210,9 @@
 		Body:   c.body,
 		Once:   !c.route.Retryable(),
 	})
+	if failure != nil && watch.tookBack() {
+		return c.handleTakenBack(choice, watch, failure)
+	}
 	if failure != nil {
 		return c.handleNoResponse(ctx, choice, failure)
 	}
@@ -227,8 +233,9 @@
 	c.possibleRuns++
 	c.ttft = time.Since(sentAt)
 	choice.ResponseStarted(c.ttft)
+	watch.responseStarted(c.ttft)
 	if response.Status == http.StatusOK && c.route.Kind == matcher.Stream {
-		return c.forwardStream(ctx, choice, response, info)
+		return c.forwardStream(ctx, choice, watch, response, info)
 	}
 	if c.responseStarted {
 		return c.handleNoContinuation(ctx, choice, response)
--- a/internal/forwarder/counters.go
+++ b/internal/forwarder/counters.go
@@ -21,6 +21,11 @@
 	// Resumes counts the streams of endpoints that were truncated, aborted or
 	// corrupt, whether or not another endpoint resumed them.
 	Resumes *metrics.Counter
+	// TakenBack counts the requests that were sent elsewhere because their endpoint did not
+	// respond in time, SilentStreams the streams that were resumed elsewhere because no
+	// event came.
+	TakenBack     *metrics.Counter
+	SilentStreams *metrics.Counter
 	// Crashes counts the attempts that may have crashed their endpoint.
 	Crashes *metrics.Counter
 	// InvalidNotices counts the responses that may have asked for a pause or said that
@@ -42,6 +47,8 @@
 		Attempts:       set.NewCounter("attempts_total"),
 		Retries:        set.NewCounter("repeats_total"),
 		Resumes:        set.NewCounter("resumes_total"),
+		TakenBack:      set.NewCounter("taken_back_total"),
+		SilentStreams:  set.NewCounter("silent_streams_total"),
 		Crashes:        set.NewCounter("crashes_total"),
 		InvalidNotices: set.NewCounter("invalid_notices_total"),
 		Served:         set.NewCounter("served_total"),
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -108,6 +108,9 @@
 	// Incomplete means that the request was sent but no complete and valid
 	// response was received.
 	Incomplete
+	// Overdue means that the response had not begun when the request was taken back, which was
+	// after the time to first token of the result.
+	Overdue
 	// NotSent means that the request was not sent to the endpoint.
 	NotSent
 )
@@ -145,10 +148,13 @@
 // Forwarder is an http.Handler that serves the requests of clients.
 type Forwarder struct {
 	Dependencies
+	waits *waitRecords
 }
 
 // New returns a forwarder.
-func New(dependencies Dependencies) *Forwarder { return &Forwarder{dependencies} }
+func New(dependencies Dependencies) *Forwarder {
+	return &Forwarder{Dependencies: dependencies, waits: newWaitRecords()}
+}
 
 // call is the state of a request while it is served.
 type call struct {
@@ -165,9 +171,13 @@
 	arrived time.Time
 	// deadline is when the response must be complete.
 	deadline time.Time
+	// forwardedAt is when the client got the last event, or the arrival of the request.
+	forwardedAt time.Time
 	// tried holds the ids of the endpoints that must not be chosen again, because
 	// they have already been sent the request.
 	tried []string
+	// lastQuery is what the endpoint of the latest attempt was chosen by.
+	lastQuery tracker.Query
 	// attemptsReached counts the attempts that reached an endpoint.
 	attemptsReached int
 	// possibleRuns counts the attempts in which an endpoint may have run the
@@ -180,8 +190,8 @@
 	// retryPaid is set if the next attempt has already been taken from the retry
 	// budget.
 	retryPaid bool
-	// previouslyFailed is set if an attempt of the request got a server error or no
-	// complete response.
+	// previouslyFailed is set if an attempt of the request got a server error, or no
+	// complete response or none in time.
 	previouslyFailed bool
 	// ttft is the time to first token of the latest attempt, which is measured up to
 	// the response header.
@@ -201,6 +211,7 @@
 // ServeHTTP implements http.Handler.
 func (f *Forwarder) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
 	c := &call{Forwarder: f, writer: writer, http: request, view: f.ControlPlane.View(), memory: f.Bodies.NewReservation(), arrived: time.Now()}
+	c.forwardedAt = c.arrived
 	defer c.memory.Release()
 	f.Counters.Requests.Inc()
 	if c.view.Draining || len(request.TransferEncoding) > 0 {
--- a/internal/forwarder/stream.go
+++ b/internal/forwarder/stream.go
@@ -16,7 +16,7 @@
 
 // forwardStream forwards a response event by event, unless the request escalates
 // to a larger model.
-func (c *call) forwardStream(ctx context.Context, choice *tracker.Choice, response *exchanger.Response, info ResponseInfo) (attemptStatus, *bufferedResponse, *classifier.Error) {
+func (c *call) forwardStream(ctx context.Context, choice *tracker.Choice, watch *watch, response *exchanger.Response, info ResponseInfo) (attemptStatus, *bufferedResponse, *classifier.Error) {
 	err := checkResponse(response.Status, info)
 	if err == nil && c.escalate(choice, info) {
 		return statusDiscarded, nil, nil
@@ -36,12 +36,14 @@
 		if eventErr != nil {
 			err = eventErr
 		}
+		watch.eventsArrived(events.count, events.last != "")
 		if len(complete) > 0 {
 			if writeErr := c.writeEvents(response, complete, events.last); writeErr != nil {
 				choice.End(tracker.Neutral, 0)
 				return statusFailed, nil, classifier.Wrap(classifier.ClientDisconnected, writeErr, "failed to write to the client")
 			}
 		}
+		watch.eventsForwarded()
 	}
 	isEnd := errors.Is(err, io.EOF)
 	if isEnd {
@@ -53,6 +55,7 @@
 		if !recorded && events.count > 0 {
 			c.recordServed(startedAt)
 		}
+		watch.complete()
 		pace := decodePace(time.Since(startedAt), events.count)
 		choice.End(tracker.Success, pace)
 		c.recordResult(choice, Completed, c.ttft, pace)
@@ -60,6 +63,9 @@
 		c.log("stream served", c.endpointFields(choice, "first", noter.FormatDuration(c.ttft), "events", events.count, "pace", noter.FormatDuration(pace), "confidence", info.Confidence)...)
 		return statusDone, nil, nil
 	}
+	if watch.tookBack() {
+		return c.handleSilentStream(choice, watch, err, events)
+	}
 	return c.handleBrokenStream(ctx, choice, err, events)
 }
 
@@ -81,6 +87,7 @@
 		return err
 	}
 	c.lastEventID = last
+	c.forwardedAt = time.Now()
 	return http.NewResponseController(c.writer).Flush()
 }
 
@@ -93,11 +100,15 @@
 	}
 	c.log("endpoint's stream is truncated, aborted or corrupt", c.endpointFields(choice, "error", err, "events", events.count, "after", c.lastEventID)...)
 	c.Counters.Resumes.Inc()
-	status := statusFailed
+	return brokenStatus(events), nil, classifier.Wrap(classifier.EndpointFailed, err, "the stream of endpoint %s is truncated, aborted or corrupt", choice.ID)
+}
+
+// brokenStatus returns the status of an attempt whose stream ended early.
+func brokenStatus(events *eventBuffer) attemptStatus {
 	if events.count > 0 && events.last == "" {
-		status = statusAborted
+		return statusAborted
 	}
-	return status, nil, classifier.Wrap(classifier.EndpointFailed, err, "the stream of endpoint %s is truncated, aborted or corrupt", choice.ID)
+	return statusFailed
 }
 
 // handleNoContinuation handles a response that is not the rest of a stream whose first
--- /dev/null
+++ b/internal/forwarder/watch.go
@@ -0,0 +1,288 @@
+package forwarder
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"quetzalgrade.example/quetzalgrade/internal/classifier"
+	"quetzalgrade.example/quetzalgrade/internal/exchanger"
+	"quetzalgrade.example/quetzalgrade/internal/matcher"
+	"quetzalgrade.example/quetzalgrade/internal/noter"
+	"quetzalgrade.example/quetzalgrade/internal/supervisor"
+	"quetzalgrade.example/quetzalgrade/internal/tracker"
+)
+
+// errTakenBack is the cause with which the context of an attempt ends when the request is taken
+// back from its endpoint.
+var errTakenBack = errors.New("the request is taken back from its endpoint")
+
+// waitRecords holds what decisions about waits depend on. It is safe for concurrent use.
+type waitRecords struct {
+	mu sync.Mutex
+	// timings holds the timing of the requests of a route that run on a model, loads the
+	// load of a service.
+	timings map[timingKey]*supervisor.Timing
+	loads   map[string]*supervisor.Load
+}
+
+// timingKey identifies the requests that share a timing.
+type timingKey struct{ route, model string }
+
+func newWaitRecords() *waitRecords {
+	return &waitRecords{timings: map[timingKey]*supervisor.Timing{}, loads: map[string]*supervisor.Load{}}
+}
+
+// find returns the timing and the load for requests of the route that run on the model.
+func (r *waitRecords) find(route *matcher.Route, model string) (*supervisor.Timing, *supervisor.Load) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	key := timingKey{route.Name, model}
+	if r.timings[key] == nil {
+		r.timings[key] = supervisor.NewTiming(route.TargetLatency)
+	}
+	if r.loads[route.Service] == nil {
+		r.loads[route.Service] = supervisor.NewLoad()
+	}
+	return r.timings[key], r.loads[route.Service]
+}
+
+// watch takes an attempt back when the request has waited too long at the endpoint. Nil is a watch
+// that never does. Its timer runs next to the attempt.
+type watch struct {
+	call   *call
+	query  tracker.Query
+	load   *supervisor.Load
+	timing *supervisor.Timing
+	// resumed is set if an earlier attempt has forwarded events.
+	resumed bool
+	// explainedGap is the longest pause between two events that the endpoint's state explains,
+	// or 0 if it is not known.
+	explainedGap time.Duration
+
+	mu    sync.Mutex
+	timer *time.Timer
+	end   context.CancelCauseFunc
+	// wait holds what the decision is made on. Some of it is set when it is made.
+	wait supervisor.Wait
+	// waitingSince is when the wait began. forwardedAt is when the client got the last event.
+	waitingSince time.Time
+	forwardedAt  time.Time
+	// startedAt is when the response began.
+	startedAt time.Time
+	events    int
+	// paused is set while the attempt does not wait for the endpoint, or cannot be repeated.
+	paused   bool
+	late     bool
+	takeBack bool
+	stopped  bool
+}
+
+// watch returns the context of an attempt, and a watch that ends it. The watch is nil if the
+// request must not run again, or if its route has no target.
+func (c *call) watch(ctx context.Context, choice *tracker.Choice) (context.Context, *watch) {
+	if c.route.TargetLatency <= 0 || !c.route.Retryable() {
+		return ctx, nil
+	}
+	timing, load := c.waits.find(c.route, c.model())
+	query := c.lastQuery
+	query.Model = c.model()
+	query.Tried = slices.Clone(c.tried)
+	mean, deviation := timing.Start()
+	now := time.Now()
+	w := &watch{call: c, query: query, load: load, timing: timing, resumed: c.responseStarted, waitingSince: now, forwardedAt: c.forwardedAt,
+		wait: supervisor.Wait{
+			Expected:  max(mean, choice.ExpectedTTFT()),
+			Deviation: deviation,
+			Target:    c.route.TargetLatency,
+			Work:      timing.Rest(),
+			OtherRuns: c.route.MaxRuns - c.possibleRuns - 1,
+		}}
+	ctx, w.end = context.WithCancelCause(ctx)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.timer = time.AfterFunc(supervisor.Patience(w.wait), w.check)
+	return ctx, w
+}
+
+// check takes the attempt back if that is better than to wait on.
+func (w *watch) check() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	now := time.Now()
+	if w.stopped || w.takeBack || w.call.http.Context().Err() != nil {
+		return
+	}
+	if w.paused {
+		w.timer.Reset(w.wait.Target)
+		return
+	}
+	w.wait.Waited = now.Sub(w.waitingSince)
+	if patience := supervisor.Patience(w.wait); w.wait.Waited < patience {
+		w.timer.Reset(patience - w.wait.Waited)
+		return
+	}
+	if !w.late {
+		w.late = true
+		w.load.RecordLate(now)
+	}
+	w.updateWait(now)
+	decision := supervisor.Decide(w.wait)
+	switch {
+	case decision.Move && w.spend():
+		w.takeBack = true
+		w.end(errTakenBack)
+	case decision.Move:
+		w.timer.Reset(w.wait.Target)
+	case decision.Recheck > 0:
+		w.timer.Reset(decision.Recheck)
+	}
+}
+
+// updateWait updates what changes during the wait. Recent responses tell more of the wait at another
+// endpoint than the estimate if all of them were late.
+func (w *watch) updateWait(now time.Time) {
+	ttft, queueDelay := w.call.Tracker.EstimateTTFT(w.query)
+	w.wait.Alternative = max(ttft, queueDelay)
+	w.wait.Overloaded = w.load.Overloaded(now)
+	w.wait.Left = w.call.deadline.Sub(now)
+	route := w.call.route
+	if route.Kind == matcher.Stream {
+		patience := supervisor.ClientPatience(route.TargetLatency, route.TargetEventGap)
+		w.wait.Left = min(w.wait.Left, w.forwardedAt.Add(patience).Sub(now)+w.wait.Work)
+	}
+}
+
+// spend takes the further attempt from the bounds on them and reports whether they allow it.
+func (w *watch) spend() bool {
+	return w.load.TrySpend() && w.call.RetryBudgets.ForService(w.call.route.Service).TrySpendAbove(retryReserve)
+}
+
+// responseStarted records that the response has begun. A stream is then watched for its events.
+func (w *watch) responseStarted(ttft time.Duration) {
+	if w == nil {
+		return
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.timing.RecordStart(ttft)
+	now := time.Now()
+	if !w.late {
+		w.load.RecordOnTime(now)
+	}
+	w.startedAt, w.waitingSince = now, now
+	gap := w.call.route.TargetEventGap
+	if gap <= 0 || w.call.route.Kind != matcher.Stream {
+		w.stopped = true
+		w.timer.Stop()
+		return
+	}
+	w.wait.Target = gap
+	w.wait.Expected, w.wait.Deviation = w.explainedGap, supervisor.GapDeviation(gap)
+	w.timer.Reset(supervisor.Patience(w.wait))
+}
+
+// eventsArrived records that events have arrived, of which there are now count. The stream is not
+// waited for until they are forwarded. Resumable says whether it can be resumed after them.
+func (w *watch) eventsArrived(count int, resumable bool) {
+	if w == nil {
+		return
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if count == w.events {
+		return
+	}
+	now := time.Now()
+	if w.events > 0 {
+		w.wait.Expected = max(w.wait.Expected, now.Sub(w.waitingSince))
+	}
+	w.events = count
+	w.paused = true
+	if !resumable {
+		w.stopped = true
+	}
+}
+
+// eventsForwarded records that the events that have arrived are forwarded.
+func (w *watch) eventsForwarded() {
+	if w == nil {
+		return
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if !w.paused {
+		return
+	}
+	now := time.Now()
+	w.paused = false
+	w.waitingSince, w.forwardedAt = now, now
+	w.wait.Work = max(0, w.timing.Rest()-now.Sub(w.startedAt))
+}
+
+// complete records the end of a complete response.
+func (w *watch) complete() {
+	if w == nil || w.resumed {
+		return
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.timing.RecordRest(time.Since(w.startedAt))
+}
+
+// tookBack reports whether the attempt was ended because the request waited too long.
+func (w *watch) tookBack() bool {
+	if w == nil {
+		return false
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.takeBack
+}
+
+// stop ends the watch.
+func (w *watch) stop() {
+	if w == nil {
+		return
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.stopped = true
+	w.timer.Stop()
+	w.end(nil)
+}
+
+// fields returns the log fields of the wait.
+func (w *watch) fields() []any {
+	return []any{"waited", noter.FormatDuration(w.wait.Waited), "usual", noter.FormatDuration(w.wait.Expected), "alternative", noter.FormatDuration(w.wait.Alternative), "left", noter.FormatDuration(w.wait.Left)}
+}
+
+// handleTakenBack handles an attempt whose response had not begun when the request was taken back.
+// The connection is closed, so that the endpoint drops the request.
+func (c *call) handleTakenBack(choice *tracker.Choice, w *watch, failure *exchanger.Failure) (attemptStatus, *bufferedResponse, *classifier.Error) {
+	status := statusNotExecuted
+	if failure.Stage == exchanger.Sent {
+		status = statusFailed
+		c.attemptsReached++
+		c.possibleRuns++
+	}
+	w.timing.RecordStart(w.wait.Waited)
+	c.recordResult(choice, Overdue, w.wait.Waited, 0)
+	choice.TakeBack()
+	c.retryPaid = true
+	c.Counters.TakenBack.Inc()
+	c.log("request taken back from its endpoint", c.endpointFields(choice, w.fields()...)...)
+	return status, nil, classifier.Wrap(classifier.EndpointFailed, failure, "endpoint %s did not respond in time", choice.ID)
+}
+
+// handleSilentStream handles a stream that was ended because no further event came.
+func (c *call) handleSilentStream(choice *tracker.Choice, w *watch, err error, events *eventBuffer) (attemptStatus, *bufferedResponse, *classifier.Error) {
+	choice.TakeBack()
+	c.retryPaid = true
+	c.Counters.SilentStreams.Inc()
+	c.log("stream is silent; resuming it elsewhere", c.endpointFields(choice, append(w.fields(), "events", events.count, "after", c.lastEventID)...)...)
+	return brokenStatus(events), nil, classifier.Wrap(classifier.EndpointFailed, err, "endpoint %s sent no further event in time", choice.ID)
+}
--- a/internal/runner/baseline.go
+++ b/internal/runner/baseline.go
@@ -45,6 +45,8 @@
 	case forwarder.Completed:
 		rollout.evidence.Add(result.Endpoint, result.Route, true)
 		m.recordSpeed(rollout, result)
+	case forwarder.Overdue:
+		m.recordSpeed(rollout, result)
 	case forwarder.ServerError:
 		rollout.evidence.Add(result.Endpoint, result.Route, false)
 		rollout.evidence.AddScore(promoter.BadResult, rollout.order, m.elapsed(rollout))
@@ -71,7 +73,7 @@
 // new version.
 func (m *rolloutManager) recordOldVersionResult(rollout *rolloutState, result forwarder.Result) {
 	switch result.Outcome {
-	case forwarder.Completed:
+	case forwarder.Completed, forwarder.Overdue:
 		m.baseline(result).Add(newTiming(result))
 	case forwarder.Incomplete, forwarder.NotSent:
 		if rollout != nil {
--- a/internal/tracker/choice.go
+++ b/internal/tracker/choice.go
@@ -91,6 +91,7 @@
 	endpoint.inflight++
 	endpoint.pendingPrefill += prefill
 	t.zoneReachability(endpoint.Zone).recordPick(now)
+	endpoint.silence.recordPick(now)
 	limited := t.spendLimit(endpoint, now)
 	return &Choice{
 		tracker:      t,
@@ -208,7 +209,7 @@
 		Slots:    endpoint.Slots,
 		Load:     load,
 		Slowness: health.Slowness(endpoint.Address),
-		Ejected:  health.Ejected(endpoint.Address, now) || now.Before(endpoint.downUntil) || t.zoneBlocked(endpoint.Zone, now),
+		Ejected:  health.Ejected(endpoint.Address, now) || now.Before(endpoint.downUntil) || endpoint.silence.blocked(now) || t.zoneBlocked(endpoint.Zone, now),
 		Probing:  health.Probing(endpoint.Address),
 		Backlog:  max(endpoint.pendingPrefill, endpoint.remainingQueueDelay(now), t.slotWait(endpoint, load)),
 	}
@@ -294,6 +295,7 @@
 		return
 	}
 	c.finishPrefill()
+	c.endpoint.silence.recordResponse()
 	now := t.now()
 	c.endpoint.queueDelay = max(0, elapsed-c.prefill)
 	c.endpoint.queueDelayAt = now
--- a/internal/tracker/tracker.go
+++ b/internal/tracker/tracker.go
@@ -74,6 +74,8 @@
 	// row.
 	downUntil       time.Time
 	connectFailures int
+	// silence is what is known of requests that waited too long there.
+	silence silence
 	// misdirected is set when another endpoint responded at the address.
 	misdirected bool
 	// removeAt is when an endpoint whose registration expired is removed; zero
@@ -158,6 +160,7 @@
 		endpoint.otherLoad = 0
 		endpoint.downUntil = time.Time{}
 		endpoint.connectFailures = 0
+		endpoint.silence = silence{}
 		endpoint.misdirected = false
 		return
 	}
