Read responses on for slow clients, within the memory for bodies

Cause: a daemon read a response only as fast as its client did. A slow client held the endpoint's slot until the deadline, and its response was cut off then; a client that had stopped reading held the daemon's memory for ever. Responses did not count in the memory budget. Change: when the writes to a client have taken 250 ms together, a goroutine reads the response on into chunks that are reserved from the budget, up to 8 MiB. Each request reserves 8 KiB as it arrives, a response that is held as a whole and a large event reserve theirs. TestSlowEndpoint passed before and keeps a body that is read slowly from being lost.

--- a/internal/exchanger/exchanger.go
+++ b/internal/exchanger/exchanger.go
@@ -431,6 +431,9 @@
 	return errors.New("connection ended together with the endpoint")
 }
 
+// Abort closes the connection, which ends a read in another goroutine. Close must be called too.
+func (r *Response) Abort() { _ = r.conn.Close() }
+
 // Close ends the exchange. The connection is closed if the body was not read to its end, or
 // if the response has no id: a second copy of it could not be told from the response to the
 // next request.
--- a/internal/forwarder/body.go
+++ b/internal/forwarder/body.go
@@ -25,6 +25,9 @@
 	if c.http.ContentLength > limit {
 		return classifier.New(classifier.BodyTooLarge, "the body has %d bytes, at most %d are allowed", c.http.ContentLength, limit)
 	}
+	if !c.memory.Grow(workingBytes) {
+		return memoryFull()
+	}
 	if c.http.Body == nil || c.http.Body == http.NoBody {
 		return nil
 	}
@@ -37,7 +40,7 @@
 	if errors.Is(err, errNoMemory) {
 		// The rest of the body is not read.
 		c.writer.Header().Set("Connection", "close")
-		return classifier.Wrap(classifier.MemoryFull, err, "the bodies of other requests take all the memory for them").WithRetryAfter(notReadyRetryAfter)
+		return memoryFull()
 	}
 	if errors.Is(err, os.ErrDeadlineExceeded) {
 		c.writer.Header().Set("Connection", "close")
@@ -59,6 +62,19 @@
 // errNoMemory is the error of a body that does not fit into the memory for bodies.
 var errNoMemory = errors.New("no memory is left for the body")
 
+// memoryFull returns the error for a request that does not fit into the memory for bodies.
+func memoryFull() *classifier.Error {
+	return classifier.Wrap(classifier.MemoryFull, errNoMemory, "other requests and their responses take all the memory for them").WithRetryAfter(notReadyRetryAfter)
+}
+
+// workingBytes is the memory that a request takes besides its body: the response that is being
+// forwarded, as far as the client and the endpoint keep up with each other. It is reserved before the
+// request is sent, because a response that has begun cannot be refused.
+const workingBytes = 2 * streamBufferBytes
+
+// held returns the memory that the request and its body take.
+func (c *call) held() int64 { return workingBytes + int64(cap(c.body)) }
+
 // minBodyBuffer is the size of the buffer for the beginning of a body of unknown length.
 const minBodyBuffer = 4 << 10
 
@@ -69,7 +85,7 @@
 	if length < 0 {
 		return c.receiveUnsizedBody(limit)
 	}
-	if !c.memory.Grow(length) {
+	if !c.memory.Grow(workingBytes + length) {
 		return nil, errNoMemory
 	}
 	body := make([]byte, length)
@@ -90,7 +106,7 @@
 			if reserved > reserver.SmallBytes {
 				reserved = max(reserved, limit+limit/2)
 			}
-			if !c.memory.Grow(reserved) {
+			if !c.memory.Grow(workingBytes + reserved) {
 				return nil, errNoMemory
 			}
 			body = append(make([]byte, 0, size), body...)
@@ -98,7 +114,7 @@
 		n, err := reader.Read(body[len(body):cap(body)])
 		body = body[:len(body)+n]
 		if errors.Is(err, io.EOF) {
-			c.memory.Shrink(int64(cap(body)))
+			c.memory.Shrink(workingBytes + int64(cap(body)))
 			return body, nil
 		}
 		if err != nil {
--- a/internal/forwarder/counters.go
+++ b/internal/forwarder/counters.go
@@ -26,6 +26,8 @@
 	// event came.
 	TakenBack     *metrics.Counter
 	SilentStreams *metrics.Counter
+	// SlowClients counts the responses that were read on because the client read slowly.
+	SlowClients *metrics.Counter
 	// Crashes counts the attempts that may have crashed their endpoint.
 	Crashes *metrics.Counter
 	// InvalidNotices counts the responses that may have asked for a pause or said that
@@ -49,6 +51,7 @@
 		Resumes:        set.NewCounter("resumes_total"),
 		TakenBack:      set.NewCounter("taken_back_total"),
 		SilentStreams:  set.NewCounter("silent_streams_total"),
+		SlowClients:    set.NewCounter("slow_clients_total"),
 		Crashes:        set.NewCounter("crashes_total"),
 		InvalidNotices: set.NewCounter("invalid_notices_total"),
 		Served:         set.NewCounter("served_total"),
--- a/internal/forwarder/event.go
+++ b/internal/forwarder/event.go
@@ -105,6 +105,9 @@
 // incomplete returns the number of bytes of the event that is not complete yet.
 func (e *eventBuffer) incomplete() int { return len(e.buffer) - e.consumed }
 
+// size returns the number of bytes that the buffer takes.
+func (e *eventBuffer) size() int { return cap(e.buffer) }
+
 // addLine adds a complete line. An empty line completes the event; further ones between two
 // events belong to neither.
 func (e *eventBuffer) addLine(line []byte) error {
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -139,7 +139,7 @@
 	Tracker      *tracker.Tracker
 	Exchanger    *exchanger.Exchanger
 	RetryBudgets *RetryBudgets
-	// Bodies is the memory that the bodies of all requests may take.
+	// Bodies is the memory that all requests in progress and their responses may take.
 	Bodies   *reserver.Budget
 	Logger   hclog.Logger
 	Counters *Counters
@@ -166,7 +166,8 @@
 	route   *matcher.Route
 	account *matcher.Account
 	body    []byte
-	// memory is what the request holds of the memory for bodies.
+	// memory is what the request and its response hold of that memory, but for what is read
+	// on for a slow client.
 	memory  *reserver.Reservation
 	arrived time.Time
 	// deadline is when the response must be complete.
--- a/internal/forwarder/stream.go
+++ b/internal/forwarder/stream.go
@@ -23,24 +23,29 @@
 	}
 	events := newEventBuffer(c.lastEventID)
 	startedAt := time.Now()
+	ahead, client := c.readAhead(response)
+	defer ahead.stop()
 	buffer := make([]byte, streamBufferBytes)
 	recorded := false
 	for err == nil {
 		var n int
-		n, err = response.Read(buffer)
+		n, err = ahead.Read(buffer)
 		complete, eventErr := events.add(buffer[:n])
 		if !recorded && events.count > maxCrashEvents {
 			recorded = true
 			c.recordServed(startedAt)
 		}
+		if eventErr == nil && !c.memory.Grow(c.held()-streamBufferBytes+int64(events.size())) {
+			eventErr = errNoMemory
+		}
 		if eventErr != nil {
 			err = eventErr
 		}
 		watch.eventsArrived(events.count, events.last != "")
 		if len(complete) > 0 {
-			if writeErr := c.writeEvents(response, complete, events.last); writeErr != nil {
+			if writeErr := c.writeEvents(client, response, complete, events.last); writeErr != nil {
 				choice.End(tracker.Neutral, 0)
-				return statusFailed, nil, classifier.Wrap(classifier.ClientDisconnected, writeErr, "failed to write to the client")
+				return statusAborted, nil, classifier.Wrap(classifier.ClientDisconnected, writeErr, "failed to write to the client")
 			}
 		}
 		watch.eventsForwarded()
@@ -78,23 +83,27 @@
 
 // writeEvents writes complete events to the client, preceded by the response
 // header if it has not been written yet.
-func (c *call) writeEvents(response *exchanger.Response, complete []byte, last EventID) error {
+func (c *call) writeEvents(client *clientWriter, response *exchanger.Response, complete []byte, last EventID) error {
 	if !c.responseStarted {
 		c.Counters.FirstEvent.UpdateDuration(c.arrived)
 		c.startResponse(http.StatusOK, c.Codec.ClientHeader(response.Header))
 	}
-	if _, err := c.writer.Write(complete); err != nil {
+	if _, err := client.Write(complete); err != nil {
 		return err
 	}
 	c.lastEventID = last
 	c.forwardedAt = time.Now()
-	return http.NewResponseController(c.writer).Flush()
+	return client.Flush()
 }
 
 // handleBrokenStream handles a stream that was truncated, aborted or corrupt. It cannot go
 // on at another endpoint if the last event that was forwarded has no id.
 func (c *call) handleBrokenStream(ctx context.Context, choice *tracker.Choice, err error, events *eventBuffer) (attemptStatus, *bufferedResponse, *classifier.Error) {
-	c.endIncomplete(ctx, choice)
+	if errors.Is(err, errNoMemory) {
+		choice.End(tracker.Neutral, 0)
+	} else {
+		c.endIncomplete(ctx, choice)
+	}
 	if events.count <= maxCrashEvents {
 		c.checkCrash(ctx, choice, true)
 	}
--- a/internal/forwarder/whole.go
+++ b/internal/forwarder/whole.go
@@ -32,20 +32,21 @@
 // forwardWhole reads a response to its end and forwards it to the client. It
 // forwards a response that is too long for that as it arrives.
 func (c *call) forwardWhole(ctx context.Context, choice *tracker.Choice, response *exchanger.Response, info ResponseInfo) (attemptStatus, *bufferedResponse, *classifier.Error) {
-	body, err := readBuffered(response)
+	limit := c.bufferLimit(response)
+	body, err := readBuffered(response, limit)
 	if err == nil {
 		err = checkResponse(response.Status, info)
 	}
-	if err == nil && len(body) <= maxBufferedBytes {
+	if err == nil && len(body) <= limit {
 		err = response.CheckEnd(ctx)
 	}
 	deniesRun := classifier.DeniesRun(response.Status)
 	isError := response.Status >= http.StatusInternalServerError || deniesRun
-	if err == nil && len(body) > maxBufferedBytes {
+	if err == nil && len(body) > limit {
 		if !isError {
 			return c.forwardLong(ctx, choice, response, body)
 		}
-		err = errors.Errorf("body of a server error exceeds %d bytes", maxBufferedBytes)
+		err = errors.Errorf("body of a server error exceeds %d bytes", limit)
 	}
 	if err != nil {
 		return statusFailed, nil, c.handleBadResponse(ctx, choice, response, err)
@@ -72,14 +73,26 @@
 	return statusDone, nil, nil
 }
 
-// readBuffered reads the body of a response, or one byte more than maxBufferedBytes
-// of a longer one. It returns an error if the announced length is over the bound of
+// bufferLimit returns the length up to which the response is held as a whole, and reserves the
+// memory for it.
+func (c *call) bufferLimit(response *exchanger.Response) int {
+	size := int64(maxBufferedBytes)
+	if length := response.ContentLength(); length >= 0 {
+		size = min(size, length)
+	}
+	if c.memory.Grow(c.held() + size) {
+		return maxBufferedBytes
+	}
+	return streamBufferBytes
+}
+
+// readBuffered reads the body of a response, or one byte more than the limit of a longer one. It returns an error if the announced length is over the bound of
 // all responses.
-func readBuffered(response *exchanger.Response) ([]byte, error) {
+func readBuffered(response *exchanger.Response, limit int) ([]byte, error) {
 	if length := response.ContentLength(); length > maxResponseBytes {
 		return nil, errors.Errorf("body of %d bytes, at most %d are allowed", length, maxResponseBytes)
 	}
-	return io.ReadAll(io.LimitReader(response, maxBufferedBytes+1))
+	return io.ReadAll(io.LimitReader(response, int64(limit)+1))
 }
 
 // handleBadResponse records and logs a response that is truncated, corrupt or too
@@ -98,17 +111,19 @@
 func (c *call) forwardLong(ctx context.Context, choice *tracker.Choice, response *exchanger.Response, begin []byte) (attemptStatus, *bufferedResponse, *classifier.Error) {
 	c.startResponse(response.Status, c.Codec.ClientHeader(response.Header))
 	total := len(begin)
-	_, writeErr := c.writer.Write(begin)
+	ahead, client := c.readAhead(response)
+	defer ahead.stop()
+	_, writeErr := client.Write(begin)
 	var err error
 	buffer := make([]byte, streamBufferBytes)
 	for err == nil && writeErr == nil {
 		var n int
-		n, err = response.Read(buffer)
+		n, err = ahead.Read(buffer)
 		if total += n; total > maxResponseBytes {
 			err = errors.Errorf("body exceeds %d bytes", maxResponseBytes)
 			break
 		}
-		_, writeErr = c.writer.Write(buffer[:n])
+		_, writeErr = client.Write(buffer[:n])
 	}
 	if writeErr != nil {
 		choice.End(tracker.Neutral, 0)
@@ -131,7 +146,7 @@
 func (c *call) writeResponse(response *bufferedResponse) {
 	c.countServed()
 	c.startResponse(response.status, response.header)
-	_, _ = c.writer.Write(response.body)
+	_, _ = newClientWriter(c.writer, c.deadline, nil).Write(response.body)
 }
 
 // startResponse writes the head of the response to the client.
