--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -200,7 +200,7 @@
 	if c.account != nil {
 		attempt.Account = c.account.Name
 	}
-	attemptCtx, watch := c.watch(ctx, choice)
+	attemptCtx, watch := c.watchAttempt(ctx, choice)
 	defer watch.stop()
 	response, failure := c.Exchanger.Do(attemptCtx, choice.Address, &exchanger.Request{
 		Method: c.http.Method,
--- a/internal/forwarder/stream.go
+++ b/internal/forwarder/stream.go
@@ -16,7 +16,7 @@
 
 // forwardStream forwards a response event by event, unless the request escalates
 // to a larger model.
-func (c *call) forwardStream(ctx context.Context, choice *tracker.Choice, watch *watch, response *exchanger.Response, info ResponseInfo) (attemptStatus, *bufferedResponse, *classifier.Error) {
+func (c *call) forwardStream(ctx context.Context, choice *tracker.Choice, watch *attemptWatch, response *exchanger.Response, info ResponseInfo) (attemptStatus, *bufferedResponse, *classifier.Error) {
 	err := checkResponse(response.Status, info)
 	if err == nil && c.escalate(choice, info) {
 		return statusDiscarded, nil, nil
--- a/internal/forwarder/watch.go
+++ b/internal/forwarder/wait.go
@@ -50,9 +50,9 @@
 	return r.timings[key], r.loads[route.Service]
 }
 
-// watch takes an attempt back when the request has waited too long at the endpoint. Nil is a watch
+// attemptWatch takes an attempt back when the request has waited too long at the endpoint. Nil is a watch
 // that never does. Its timer runs next to the attempt.
-type watch struct {
+type attemptWatch struct {
 	call   *call
 	query  tracker.Query
 	load   *supervisor.Load
@@ -81,9 +81,9 @@
 	stopped  bool
 }
 
-// watch returns the context of an attempt, and a watch that ends it. The watch is nil if the
+// watchAttempt returns the context of an attempt, and a watch that ends it. The watch is nil if the
 // request must not run again, or if its route has no target.
-func (c *call) watch(ctx context.Context, choice *tracker.Choice) (context.Context, *watch) {
+func (c *call) watchAttempt(ctx context.Context, choice *tracker.Choice) (context.Context, *attemptWatch) {
 	if c.route.TargetLatency <= 0 || !c.route.Retryable() {
 		return ctx, nil
 	}
@@ -93,7 +93,7 @@
 	query.Tried = slices.Clone(c.tried)
 	mean, deviation := timing.Start()
 	now := time.Now()
-	w := &watch{call: c, query: query, load: load, timing: timing, resumed: c.responseStarted, waitingSince: now, forwardedAt: c.forwardedAt,
+	w := &attemptWatch{call: c, query: query, load: load, timing: timing, resumed: c.responseStarted, waitingSince: now, forwardedAt: c.forwardedAt,
 		wait: supervisor.Wait{
 			Expected:  max(mean, choice.ExpectedTTFT()),
 			Deviation: deviation,
@@ -109,7 +109,7 @@
 }
 
 // check takes the attempt back if that is better than to wait on.
-func (w *watch) check() {
+func (w *attemptWatch) check() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	now := time.Now()
@@ -144,7 +144,7 @@
 
 // updateWait updates what changes during the wait. Recent responses tell more of the wait at another
 // endpoint than the estimate if all of them were late.
-func (w *watch) updateWait(now time.Time) {
+func (w *attemptWatch) updateWait(now time.Time) {
 	ttft, queueDelay := w.call.Tracker.EstimateTTFT(w.query)
 	w.wait.Alternative = max(ttft, queueDelay)
 	w.wait.Overloaded = w.load.Overloaded(now)
@@ -157,12 +157,12 @@
 }
 
 // spend takes the further attempt from the bounds on them and reports whether they allow it.
-func (w *watch) spend() bool {
+func (w *attemptWatch) spend() bool {
 	return w.load.TrySpend() && w.call.RetryBudgets.ForService(w.call.route.Service).TrySpendAbove(retryReserve)
 }
 
 // responseStarted records that the response has begun. A stream is then watched for its events.
-func (w *watch) responseStarted(ttft time.Duration) {
+func (w *attemptWatch) responseStarted(ttft time.Duration) {
 	if w == nil {
 		return
 	}
@@ -187,7 +187,7 @@
 
 // eventsArrived records that events have arrived, of which there are now count. The stream is not
 // waited for until they are forwarded. Resumable says whether it can be resumed after them.
-func (w *watch) eventsArrived(count int, resumable bool) {
+func (w *attemptWatch) eventsArrived(count int, resumable bool) {
 	if w == nil {
 		return
 	}
@@ -208,7 +208,7 @@
 }
 
 // eventsForwarded records that the events that have arrived are forwarded.
-func (w *watch) eventsForwarded() {
+func (w *attemptWatch) eventsForwarded() {
 	if w == nil {
 		return
 	}
@@ -224,7 +224,7 @@
 }
 
 // complete records the end of a complete response.
-func (w *watch) complete() {
+func (w *attemptWatch) complete() {
 	if w == nil || w.resumed {
 		return
 	}
@@ -234,7 +234,7 @@
 }
 
 // tookBack reports whether the attempt was ended because the request waited too long.
-func (w *watch) tookBack() bool {
+func (w *attemptWatch) tookBack() bool {
 	if w == nil {
 		return false
 	}
@@ -244,7 +244,7 @@
 }
 
 // stop ends the watch.
-func (w *watch) stop() {
+func (w *attemptWatch) stop() {
 	if w == nil {
 		return
 	}
@@ -256,13 +256,13 @@
 }
 
 // fields returns the log fields of the wait.
-func (w *watch) fields() []any {
+func (w *attemptWatch) fields() []any {
 	return []any{"waited", noter.FormatDuration(w.wait.Waited), "usual", noter.FormatDuration(w.wait.Expected), "alternative", noter.FormatDuration(w.wait.Alternative), "left", noter.FormatDuration(w.wait.Left)}
 }
 
 // handleTakenBack handles an attempt whose response had not begun when the request was taken back.
 // The connection is closed, so that the endpoint drops the request.
-func (c *call) handleTakenBack(choice *tracker.Choice, w *watch, failure *exchanger.Failure) (attemptStatus, *bufferedResponse, *classifier.Error) {
+func (c *call) handleTakenBack(choice *tracker.Choice, w *attemptWatch, failure *exchanger.Failure) (attemptStatus, *bufferedResponse, *classifier.Error) {
 	status := statusNotExecuted
 	if failure.Stage == exchanger.Sent {
 		status = statusFailed
@@ -279,7 +279,7 @@
 }
 
 // handleSilentStream handles a stream that was ended because no further event came.
-func (c *call) handleSilentStream(choice *tracker.Choice, w *watch, err error, events *eventBuffer) (attemptStatus, *bufferedResponse, *classifier.Error) {
+func (c *call) handleSilentStream(choice *tracker.Choice, w *attemptWatch, err error, events *eventBuffer) (attemptStatus, *bufferedResponse, *classifier.Error) {
 	choice.TakeBack()
 	c.retryPaid = true
 	c.Counters.SilentStreams.Inc()
