Say in the watch of an attempt what its flags mean

Cause: the comment of paused spoke of attempts that cannot be repeated, which stopped stands for, and three flags had none. Change: comments only.

--- a/internal/forwarder/wait.go
+++ b/internal/forwarder/wait.go
@@ -71,11 +71,14 @@
 	// waitingSince is when the wait began. forwardedAt is when the client got the last event.
 	waitingSince time.Time
 	forwardedAt  time.Time
-	// startedAt is when the response began.
+	// startedAt is when the response began, events the number of its events so far.
 	startedAt time.Time
 	events    int
-	// paused is set while the attempt does not wait for the endpoint, or cannot be repeated.
-	paused   bool
+	// paused is set while events are forwarded, so that a slow client is not taken for a silent
+	// endpoint.
+	paused bool
+	// late is set once the wait has counted as late, takeBack when the attempt is ended, stopped
+	// when it is no longer watched.
 	late     bool
 	takeBack bool
 	stopped  bool
