Free an endpoint's slot when its response is read, not its client

Cause: a response that is read on for a slow client is at its end at the endpoint, but the daemon counted the request in the endpoint's load until the client had read it. The endpoint seemed full; the time that the client took went into the mean duration of requests, the pace of the endpoint and the usual rest of a response, which decide about ejections, rollouts and take-backs. Change: tracker.Choice.ResponseEnded ends the load and the duration of a request; aheadReader calls it. The pace and the rest of a stream end there too.

--- a/internal/forwarder/ahead.go
+++ b/internal/forwarder/ahead.go
@@ -4,11 +4,13 @@
 	"context"
 	"io"
 	"sync"
+	"time"
 
 	"github.com/go-faster/errors"
 
 	"quetzalgrade.example/quetzalgrade/internal/exchanger"
 	"quetzalgrade.example/quetzalgrade/internal/reserver"
+	"quetzalgrade.example/quetzalgrade/internal/tracker"
 )
 
 const (
@@ -26,6 +28,9 @@
 	response *exchanger.Response
 	// checkEnd returns an error if the response, which has been read to its end, was broken off.
 	checkEnd func() error
+	// onEnd is called when nothing more is read, maybe in the other goroutine. endedAt is when.
+	onEnd   func()
+	endedAt time.Time
 
 	mu     sync.Mutex
 	memory *reserver.Reservation
@@ -42,8 +47,13 @@
 
 // readAhead returns a reader of the response and a writer to the client. If the client is slow to
 // read, the reader reads on.
-func (c *call) readAhead(ctx context.Context, response *exchanger.Response) (*aheadReader, *clientWriter) {
-	ahead := newAheadReader(ctx, response, c.Bodies.NewReservation())
+func (c *call) readAhead(ctx context.Context, choice *tracker.Choice, response *exchanger.Response) (*aheadReader, *clientWriter) {
+	ahead := &aheadReader{
+		response: response,
+		checkEnd: func() error { return response.CheckEnd(ctx) },
+		onEnd:    choice.ResponseEnded,
+		memory:   c.Bodies.NewReservation(),
+	}
 	client := newClientWriter(c.writer, c.deadline, func() {
 		if ahead.start() {
 			c.Counters.SlowClients.Inc()
@@ -53,10 +63,6 @@
 	return ahead, client
 }
 
-func newAheadReader(ctx context.Context, response *exchanger.Response, memory *reserver.Reservation) *aheadReader {
-	return &aheadReader{response: response, checkEnd: func() error { return response.CheckEnd(ctx) }, memory: memory}
-}
-
 // start begins to read on, unless there is no memory for that. It reports whether it did.
 func (a *aheadReader) start() bool {
 	a.mu.Lock()
@@ -119,6 +125,10 @@
 			err = endErr
 		}
 	}
+	if err != nil {
+		a.endedAt = time.Now()
+		a.onEnd()
+	}
 	return n, err
 }
 
--- a/internal/forwarder/stream.go
+++ b/internal/forwarder/stream.go
@@ -23,7 +23,7 @@
 	}
 	events := newEventBuffer(c.lastEventID)
 	startedAt := time.Now()
-	ahead, client := c.readAhead(ctx, response)
+	ahead, client := c.readAhead(ctx, choice, response)
 	defer ahead.stop()
 	buffer := make([]byte, streamBufferBytes)
 	recorded := false
@@ -54,8 +54,8 @@
 		if !recorded && events.count > 0 {
 			c.recordServed(startedAt)
 		}
-		watch.complete()
-		pace := decodePace(time.Since(startedAt), events.count)
+		watch.complete(ahead.endedAt)
+		pace := decodePace(ahead.endedAt.Sub(startedAt), events.count)
 		choice.End(tracker.Success, pace)
 		c.recordResult(choice, Completed, c.ttft, pace)
 		c.countServed()
--- a/internal/forwarder/wait.go
+++ b/internal/forwarder/wait.go
@@ -226,14 +226,14 @@
 	w.wait.Work = max(0, w.timing.Rest()-now.Sub(w.startedAt))
 }
 
-// complete records the end of a complete response.
-func (w *attemptWatch) complete() {
+// complete records that a complete response ended at the time.
+func (w *attemptWatch) complete(endedAt time.Time) {
 	if w == nil || w.resumed {
 		return
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.timing.RecordRest(time.Since(w.startedAt))
+	w.timing.RecordRest(endedAt.Sub(w.startedAt))
 }
 
 // tookBack reports whether the attempt was ended because the request waited too long.
--- a/internal/forwarder/whole.go
+++ b/internal/forwarder/whole.go
@@ -111,7 +111,7 @@
 func (c *call) forwardLong(ctx context.Context, choice *tracker.Choice, response *exchanger.Response, begin []byte) (attemptStatus, *bufferedResponse, *classifier.Error) {
 	c.startResponse(response.Status, c.Codec.ClientHeader(response.Header))
 	total := len(begin)
-	ahead, client := c.readAhead(ctx, response)
+	ahead, client := c.readAhead(ctx, choice, response)
 	defer ahead.stop()
 	_, writeErr := client.Write(begin)
 	var err error
--- a/internal/tracker/choice.go
+++ b/internal/tracker/choice.go
@@ -58,7 +58,9 @@
 	startedAt time.Time
 	// prefillDone is set once the prompt no longer counts as pending prefill.
 	prefillDone bool
-	ended       bool
+	// responseEndedAt is when the endpoint had sent the whole response, or zero.
+	responseEndedAt time.Time
+	ended           bool
 	Registration
 	// Load is the endpoint's load in requests when it was chosen.
 	Load int
@@ -251,18 +253,18 @@
 	if c.ended {
 		return
 	}
+	now := t.now()
 	c.ended = true
-	c.endpoint.inflight--
+	c.endResponse(now)
 	c.finishPrefill()
 	if outcome == Neutral {
 		return
 	}
-	now := t.now()
 	health := t.serviceHealth(c.Service)
 	switch outcome {
 	case Success:
 		c.endpoint.connectFailures = 0
-		t.recordDuration(c.Service, now.Sub(c.startedAt))
+		t.recordDuration(c.Service, c.responseEndedAt.Sub(c.startedAt))
 		health.RecordSuccess(c.Address, pace, now)
 		health.ReduceNextEjection(c.Address, now)
 	case ConnectFailed, Unreachable:
@@ -310,6 +312,23 @@
 	}
 }
 
+// ResponseEnded records that the endpoint has sent the whole response, so that its slot is free although
+// the client may still be reading. Calls after the first, or after End, have no effect.
+func (c *Choice) ResponseEnded() {
+	t := c.tracker
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	c.endResponse(t.now())
+}
+
+// endResponse removes the request from the endpoint's load, once.
+func (c *Choice) endResponse(now time.Time) {
+	if c.responseEndedAt.IsZero() {
+		c.responseEndedAt = now
+		c.endpoint.inflight--
+	}
+}
+
 // finishPrefill removes the prompt from the endpoint's pending prefill, once.
 func (c *Choice) finishPrefill() {
 	if !c.prefillDone {
--- a/internal/tracker/silence.go
+++ b/internal/tracker/silence.go
@@ -53,8 +53,9 @@
 	if c.ended {
 		return
 	}
+	now := t.now()
 	c.ended = true
-	c.endpoint.inflight--
+	c.endResponse(now)
 	c.finishPrefill()
-	c.endpoint.silence.recordTakeBack(c.startedAt, t.now())
+	c.endpoint.silence.recordTakeBack(c.startedAt, now)
 }
