Keep a session on its version when its request is taken back

Cause: a take-back counted as a failure of the version, so the next attempt of a session that is on a version being rolled out went to the old version, only because the endpoints of the new one had long queues. Change: a request with a session stays on its version; one without still avoids the new version. Evidence: TestTakenBackRequestKeepsItsSession fails before in the row "taken back in a session".

--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -133,7 +133,9 @@
 
 // recordResult reports the result of an attempt to the control plane.
 func (c *call) recordResult(choice *tracker.Choice, outcome Outcome, ttft, decodePace time.Duration) {
-	c.previouslyFailed = c.previouslyFailed || outcome == ServerError || outcome == Incomplete || outcome == Overdue
+	// A long wait is no reason to move a session off its version: it may be a long queue.
+	avoidsVersion := outcome == ServerError || outcome == Incomplete || outcome == Overdue && c.Session == ""
+	c.previouslyFailed = c.previouslyFailed || avoidsVersion
 	c.ControlPlane.RecordResult(Result{
 		Service:      c.route.Service,
 		Version:      choice.Version,
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -77,8 +77,8 @@
 	// Request is the id of the request.
 	Request string
 	// PreviouslyFailed is set if an earlier attempt of the request got a server
-	// error or no complete response. The request then avoids a version that is
-	// still being rolled out.
+	// error or no complete response or, without a session, none in time. The request then
+	// avoids a version that is still being rolled out.
 	PreviouslyFailed bool
 }
 
@@ -191,8 +191,8 @@
 	// retryPaid is set if the next attempt has already been taken from the retry
 	// budget.
 	retryPaid bool
-	// previouslyFailed is set if an attempt of the request got a server error, or no
-	// complete response or none in time.
+	// previouslyFailed is set if an attempt of the request got a server error or no
+	// complete response or, without a session, none in time.
 	previouslyFailed bool
 	// ttft is the time to first token of the latest attempt, which is measured up to
 	// the response header.
