Leave to small requests what is kept for them beside slow clients

Cause: what is read on for a slow client counted as a small holder up to 64 KiB, so that many slow clients took the whole budget, also the quarter that is kept for small holders, and new requests were refused with memory_full. Reading on can be done without: the endpoint waits then. Change: Budget.NewOptionalReservation is bound as large holders are, whatever its size. Evidence: with the old bound, TestOptionalReservations gets 4177920 of 4194304 bytes in use by optional holders, at most 3145728 wanted, and a small holder gets nothing.

--- a/internal/forwarder/ahead.go
+++ b/internal/forwarder/ahead.go
@@ -52,7 +52,7 @@
 		response: response,
 		checkEnd: func() error { return response.CheckEnd(ctx) },
 		onEnd:    choice.ResponseEnded,
-		memory:   c.Bodies.NewReservation(),
+		memory:   c.Bodies.NewOptionalReservation(),
 	}
 	client := newClientWriter(c.writer, c.deadline, func() {
 		if ahead.start() {
--- a/internal/reserver/reserver.go
+++ b/internal/reserver/reserver.go
@@ -29,10 +29,10 @@
 	return b.used
 }
 
-// grow reserves more bytes for a holder that has some. It reports whether there was room.
-func (b *Budget) grow(held, more int64) bool {
+// grow reserves more bytes for a small or large holder. It reports whether there was room.
+func (b *Budget) grow(more int64, large bool) bool {
 	bound := b.total
-	if held+more > SmallBytes {
+	if large {
 		bound = int64(largeShare * float64(b.total))
 	}
 	b.mu.Lock()
@@ -52,20 +52,27 @@
 
 // Reservation is the memory that one request holds. It is for one goroutine.
 type Reservation struct {
-	budget *Budget
-	bytes  int64
+	budget   *Budget
+	bytes    int64
+	optional bool
 }
 
 // NewReservation returns a reservation of no bytes.
 func (b *Budget) NewReservation() *Reservation { return &Reservation{budget: b} }
 
+// NewOptionalReservation returns a reservation of memory that its holder can do without. Of whatever
+// size, it gets no more than a large holder would.
+func (b *Budget) NewOptionalReservation() *Reservation {
+	return &Reservation{budget: b, optional: true}
+}
+
 // Grow makes the reservation hold a number of bytes in all. It reports whether there was room;
 // otherwise the reservation stays as it is.
 func (r *Reservation) Grow(bytes int64) bool {
 	if bytes <= r.bytes {
 		return true
 	}
-	if !r.budget.grow(r.bytes, bytes-r.bytes) {
+	if !r.budget.grow(bytes-r.bytes, r.optional || bytes > SmallBytes) {
 		return false
 	}
 	r.bytes = bytes
--- a/internal/reserver/reserver_test.go
+++ b/internal/reserver/reserver_test.go
@@ -78,3 +78,19 @@
 		}
 	})
 }
+
+// TestOptionalReservations guards against requests that are refused because many small holders have
+// taken memory that they can do without.
+func TestOptionalReservations(t *testing.T) {
+	const total = 4 << 20
+	budget := reserver.NewBudget(total)
+	for range 1000 {
+		budget.NewOptionalReservation().Grow(20 << 10)
+	}
+	if got := budget.Used(); got > total*3/4 {
+		t.Errorf("Used() by optional reservations got %d, want at most %d", got, total*3/4)
+	}
+	if !budget.NewReservation().Grow(64 << 10) {
+		t.Errorf("Grow() beside optional reservations got false, want true")
+	}
+}
