Keep the budget for take-backs while there are no retries

Cause: attemptWatch.spend took from the budget of take-backs first and lost that when the retry budget was exhausted. Late requests decide again all the time, so they used up the first budget without one take-back, and none was left when there were retries again. Change: what was taken is refunded. Evidence: TestSpendTakesFromBothBudgetsOrNone fails before: no request is taken back with 10 retries left.

--- a/internal/forwarder/wait.go
+++ b/internal/forwarder/wait.go
@@ -161,7 +161,14 @@
 
 // spend takes the further attempt from the bounds on them and reports whether they allow it.
 func (w *attemptWatch) spend() bool {
-	return w.load.TrySpend() && w.call.RetryBudgets.ForService(w.call.route.Service).TrySpendAbove(retryReserve)
+	if !w.load.TrySpend() {
+		return false
+	}
+	if !w.call.RetryBudgets.ForService(w.call.route.Service).TrySpendAbove(retryReserve) {
+		w.load.Refund()
+		return false
+	}
+	return true
 }
 
 // responseStarted records that the response has begun. A stream is then watched for its events.
--- /dev/null
+++ b/internal/forwarder/wait_test.go
@@ -0,0 +1,36 @@
+package forwarder
+
+import (
+	"testing"
+
+	"quetzalgrade.example/quetzalgrade/internal/matcher"
+	"quetzalgrade.example/quetzalgrade/internal/supervisor"
+)
+
+// TestSpendTakesFromBothBudgetsOrNone guards against late requests that use up the budget for take-backs
+// while the retry budget is exhausted, so that none is taken back when there are retries again.
+func TestSpendTakesFromBothBudgetsOrNone(t *testing.T) {
+	const takeBacks = 10
+	// Each request adds a retry; at the beginning there are none but the reserve.
+	budgets := NewRetryBudgets(1, retryReserve+takeBacks)
+	budget := budgets.ForService("ledger")
+	for budget.TrySpendAbove(retryReserve) {
+	}
+	w := &attemptWatch{load: supervisor.NewLoad(), call: &call{Forwarder: New(Dependencies{RetryBudgets: budgets}), route: &matcher.Route{Service: "ledger"}}}
+	for range 100 {
+		if w.spend() {
+			t.Fatalf("spend() without retries got true, want false")
+		}
+	}
+	for range takeBacks {
+		budget.RecordRequest()
+	}
+	for i := range takeBacks {
+		if !w.spend() {
+			t.Fatalf("spend() %d with retries got false, want true", i)
+		}
+	}
+	if w.spend() {
+		t.Errorf("spend() after all retries got true, want false")
+	}
+}
--- a/internal/retrier/retrier.go
+++ b/internal/retrier/retrier.go
@@ -62,6 +62,13 @@
 	return true
 }
 
+// Refund gives back a retry that was taken and not made.
+func (b *Budget) Refund() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.tokens = min(b.burst, b.tokens+1)
+}
+
 // FailedAttempt describes a failed attempt.
 type FailedAttempt struct {
 	// Kind is the kind of the error.
--- a/internal/supervisor/load.go
+++ b/internal/supervisor/load.go
@@ -74,6 +74,9 @@
 // TrySpend takes one request from those that may be taken back, and reports whether there was one.
 func (l *Load) TrySpend() bool { return l.budget.TrySpend() }
 
+// Refund gives back what TrySpend took for a request that was not taken back.
+func (l *Load) Refund() { l.budget.Refund() }
+
 // forget reduces the weight of earlier requests.
 func (l *Load) forget(now time.Time) {
 	weight := math.Exp(-float64(now.Sub(l.at)) / float64(loadTimeConstant))
