Take no request back while its connection is being opened

Cause: on routes with a short target a request was taken back before the bound on opening a connection had passed. A host that is down, or a zone that is cut off, was then never recorded as unreachable, and each request for it took from the budgets, although it had not been sent. Change: the watch of an attempt begins with the connection (exchanger.Request.Connected). Evidence: before, TestUnreachableEndpointIsNotSilent gets taken_back_total 1, 0 wanted.

--- a/internal/exchanger/exchanger.go
+++ b/internal/exchanger/exchanger.go
@@ -60,6 +60,8 @@
 	// Once is set if the request must not run twice. It is then sent on a new connection
 	// to an endpoint that sends responses without an id.
 	Once bool
+	// Connected is called before the first byte is written, unless it is nil.
+	Connected func()
 }
 
 // Match is what a response says of the request that it belongs to.
@@ -177,6 +179,9 @@
 	if err != nil {
 		return nil, &Failure{Stage: Unsent, Err: err}
 	}
+	if request.Connected != nil {
+		request.Connected()
+	}
 	stopWatch := context.AfterFunc(ctx, func() { _ = connection.Close() })
 	written, err := connection.write(request)
 	if err != nil {
--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -211,6 +211,8 @@
 		Header: c.Codec.EndpointHeader(c.http.Header, attempt),
 		Body:   c.body,
 		Once:   !c.route.Retryable(),
+
+		Connected: watch.connected,
 	})
 	if failure != nil && watch.tookBack() {
 		return c.handleTakenBack(choice, watch, failure)
--- a/internal/forwarder/wait.go
+++ b/internal/forwarder/wait.go
@@ -63,7 +63,8 @@
 	// or 0 if it is not known.
 	explainedGap time.Duration
 
-	mu    sync.Mutex
+	mu sync.Mutex
+	// timer is nil until there is a connection.
 	timer *time.Timer
 	end   context.CancelCauseFunc
 	// wait holds what the decision is made on. Some of it is set when it is made.
@@ -95,8 +96,7 @@
 	query.Model = c.model()
 	query.Tried = slices.Clone(c.tried)
 	mean, deviation := timing.Start()
-	now := time.Now()
-	w := &attemptWatch{call: c, query: query, load: load, timing: timing, resumed: c.responseStarted, waitingSince: now, forwardedAt: c.forwardedAt,
+	w := &attemptWatch{call: c, query: query, load: load, timing: timing, resumed: c.responseStarted, forwardedAt: c.forwardedAt,
 		wait: supervisor.Wait{
 			Expected:  max(mean, choice.ExpectedTTFT()),
 			Deviation: deviation,
@@ -105,10 +105,19 @@
 			OtherRuns: c.route.MaxRuns - c.possibleRuns - 1,
 		}}
 	ctx, w.end = context.WithCancelCause(ctx)
+	return ctx, w
+}
+
+// connected begins the wait. The time to open a connection has a bound of its own, after which the host
+// is known to be unreachable.
+func (w *attemptWatch) connected() {
+	if w == nil {
+		return
+	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	w.waitingSince = time.Now()
 	w.timer = time.AfterFunc(supervisor.Patience(w.wait), w.check)
-	return ctx, w
 }
 
 // check takes the attempt back if that is better than to wait on.
@@ -261,7 +270,9 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.stopped = true
-	w.timer.Stop()
+	if w.timer != nil {
+		w.timer.Stop()
+	}
 	w.end(nil)
 }
 
@@ -273,19 +284,15 @@
 // handleTakenBack handles an attempt whose response had not begun when the request was taken back.
 // The connection is closed, so that the endpoint drops the request.
 func (c *call) handleTakenBack(choice *tracker.Choice, w *attemptWatch, failure *exchanger.Failure) (attemptStatus, *bufferedResponse, *classifier.Error) {
-	status := statusNotExecuted
-	if failure.Stage == exchanger.Sent {
-		status = statusFailed
-		c.attemptsReached++
-		c.possibleRuns++
-	}
+	c.attemptsReached++
+	c.possibleRuns++
 	w.timing.RecordStart(w.wait.Waited)
 	c.recordResult(choice, Overdue, w.wait.Waited, 0)
 	choice.TakeBack()
 	c.retryPaid = true
 	c.Counters.TakenBack.Inc()
 	c.log("request taken back from its endpoint", c.endpointFields(choice, w.fields()...)...)
-	return status, nil, classifier.Wrap(classifier.EndpointFailed, failure, "endpoint %s did not respond in time", choice.ID)
+	return statusFailed, nil, classifier.Wrap(classifier.EndpointFailed, failure, "endpoint %s did not respond in time", choice.ID)
 }
 
 // handleSilentStream handles a stream that was ended because no further event came.
