Count a refusal as a response of a silent endpoint

Cause: an endpoint whose requests had been taken back got one request in up to 4 s until it began a response. If it refused that one, which shows that it responds, it was avoided for as long again. Change: Choice.ReportRefusal ends the silence, unless another endpoint has the address. Evidence: with a ReportRefusal that does nothing, TestRefusalEndsSilence gets 0 of 20 requests, 2 or more wanted.

--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -327,6 +327,8 @@
 	choice.End(tracker.Neutral, 0)
 	if info.Misdirected {
 		choice.ReportMisdirected()
+	} else {
+		choice.ReportRefusal()
 	}
 	c.log("endpoint refused the request", c.endpointFields(choice, "status", response.Status, "anonymous", response.Anonymous, "running", info.Running, "waiting", info.Waiting)...)
 	return statusNotExecuted, nil, classifier.New(classifier.EndpointRefused, "endpoint %s refused the request with status %d", choice.ID, response.Status).WithRetryAfter(notReadyRetryAfter)
--- a/internal/tracker/silence.go
+++ b/internal/tracker/silence.go
@@ -6,7 +6,7 @@
 // hang or be cut off, or it may only have a long queue.
 type silence struct {
 	// count is the number of requests taken back, one after the other, since the endpoint last
-	// began a response. recordedAt is when the last of them was.
+	// responded. recordedAt is when the last of them was.
 	count      int
 	recordedAt time.Time
 	// until is when the next request may be sent.
@@ -32,7 +32,7 @@
 	}
 }
 
-// recordResponse records that a response has begun.
+// recordResponse records that the endpoint has responded, also with a refusal.
 func (s *silence) recordResponse() { *s = silence{} }
 
 // blocked reports whether the endpoint gets no requests at the time.
@@ -59,3 +59,10 @@
 	c.finishPrefill()
 	c.endpoint.silence.recordTakeBack(c.startedAt, now)
 }
+
+// ReportRefusal records that the endpoint refused the request, so that it is not silent.
+func (c *Choice) ReportRefusal() {
+	c.tracker.mu.Lock()
+	defer c.tracker.mu.Unlock()
+	c.endpoint.silence.recordResponse()
+}
--- a/internal/tracker/silence_test.go
+++ b/internal/tracker/silence_test.go
@@ -81,3 +81,22 @@
 	}
 	return count
 }
+
+// TestRefusalEndsSilence guards against an endpoint that is avoided as silent although it responds: it
+// refuses the request that was to show that.
+func TestRefusalEndsSilence(t *testing.T) {
+	tr, c := newTracker(t, 2)
+	query := tracker.Query{Service: "helper", Tried: []string{"e1"}}
+	for range 4 {
+		choice := pick(t, tr, query)
+		c.advance(time.Second)
+		choice.TakeBack()
+	}
+	refused := pick(t, tr, query)
+	refused.ReportRefusal()
+	refused.End(tracker.Neutral, 0)
+	query.Tried = nil
+	if got := picksOfFirst(t, tr, query); got < 2 {
+		t.Errorf("requests to the endpoint that refused one got %d, want its share", got)
+	}
+}
