--- a/internal/exchanger/exchanger.go
+++ b/internal/exchanger/exchanger.go
@@ -64,6 +64,8 @@
 	// connection is open, which may take a while, and before the first byte is written. A
 	// nil function permits all.
 	Permitted func() bool
+	// Connected is called after that and before the first byte is written, unless it is nil.
+	Connected func()
 }
 
 // ErrNotPermitted is the error of an exchange whose request was not sent because its function
@@ -189,6 +191,9 @@
 		_ = connection.Close()
 		return nil, &Failure{Stage: Unsent, Err: ErrNotPermitted}
 	}
+	if request.Connected != nil {
+		request.Connected()
+	}
 	stopWatch := context.AfterFunc(ctx, func() { _ = connection.Close() })
 	written, err := connection.write(request)
 	if err != nil {
@@ -220,7 +225,7 @@
 	stopWatch()
 	_ = connection.Close()
 	if ctx.Err() != nil {
-		err = ctx.Err()
+		err = context.Cause(ctx)
 	}
 	return &Failure{Stage: Sent, Err: err}
 }
@@ -443,6 +448,9 @@
 	return errors.New("connection ended together with the endpoint")
 }
 
+// Abort closes the connection, which ends a read in another goroutine. Close must be called too.
+func (r *Response) Abort() { _ = r.conn.Close() }
+
 // Close ends the exchange. The connection is closed if the body was not read to its end, or
 // if the response has no id: a second copy of it could not be told from the response to the
 // next request.
--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -116,7 +116,8 @@
 
 // pick chooses an endpoint for the next attempt. It returns false if there is none.
 func (c *call) pick() (*tracker.Choice, bool) {
-	return c.Tracker.Pick(c.query(c.model()))
+	c.lastQuery = c.query(c.model())
+	return c.Tracker.Pick(c.lastQuery)
 }
 
 // query returns the criteria for choosing an endpoint that runs the model on this
@@ -140,7 +141,9 @@
 
 // recordResult reports the result of an attempt to the control plane.
 func (c *call) recordResult(choice *tracker.Choice, outcome Outcome, ttft, decodePace time.Duration) {
-	c.previouslyFailed = c.previouslyFailed || outcome == ServerError || outcome == Incomplete
+	// A long wait is no reason to move a session off its version: it may be a long queue.
+	avoidsVersion := outcome == ServerError || outcome == Incomplete || outcome == Overdue && c.Session == ""
+	c.previouslyFailed = c.previouslyFailed || avoidsVersion
 	c.ControlPlane.RecordResult(Result{
 		Service:      c.route.Service,
 		Version:      choice.Version,
@@ -207,7 +210,9 @@
 	if c.account != nil {
 		attempt.Account = c.account.Name
 	}
-	response, failure := c.Exchanger.Do(ctx, choice.Address, &exchanger.Request{
+	attemptCtx, watch := c.watchAttempt(ctx, choice)
+	defer watch.stop()
+	response, failure := c.Exchanger.Do(attemptCtx, choice.Address, &exchanger.Request{
 		Method: c.http.Method,
 		Target: c.http.RequestURI,
 		Host:   c.http.Host,
@@ -216,10 +221,14 @@
 		Once:   !c.route.Retryable(),
 		// The endpoint may be drained or evacuated while the connection is opened.
 		Permitted: choice.Permitted,
+		Connected: watch.connected,
 	})
 	if failure != nil && errors.Is(failure, exchanger.ErrNotPermitted) {
 		return c.handleNotPermitted(choice)
 	}
+	if failure != nil && watch.tookBack() {
+		return c.handleTakenBack(choice, watch, failure)
+	}
 	if failure != nil {
 		return c.handleNoResponse(ctx, choice, failure)
 	}
@@ -243,8 +252,9 @@
 	c.possibleRuns++
 	c.ttft = time.Since(sentAt)
 	choice.ResponseStarted(c.ttft)
+	watch.responseStarted(c.ttft)
 	if response.Status == http.StatusOK && c.route.Kind == matcher.Stream {
-		return c.forwardStream(ctx, choice, response, info)
+		return c.forwardStream(ctx, choice, watch, response, info)
 	}
 	if c.responseStarted {
 		return c.handleNoContinuation(ctx, choice, response)
@@ -345,6 +355,8 @@
 	choice.End(tracker.Neutral, 0)
 	if info.Misdirected {
 		choice.ReportMisdirected()
+	} else {
+		choice.ReportRefusal()
 	}
 	c.log("endpoint refused the request", c.endpointFields(choice, "status", response.Status, "anonymous", response.Anonymous, "running", info.Running, "waiting", info.Waiting)...)
 	return statusNotExecuted, nil, classifier.New(classifier.EndpointRefused, "endpoint %s refused the request with status %d", choice.ID, response.Status).WithRetryAfter(notReadyRetryAfter)
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -79,8 +79,8 @@
 	// Request is the id of the request.
 	Request string
 	// PreviouslyFailed is set if an earlier attempt of the request got a server
-	// error or no complete response. The request then avoids a version that is
-	// still being rolled out.
+	// error or no complete response or, without a session, none in time. The request then
+	// avoids a version that is still being rolled out.
 	PreviouslyFailed bool
 }
 
@@ -110,6 +110,9 @@
 	// Incomplete means that the request was sent but no complete and valid
 	// response was received.
 	Incomplete
+	// Overdue means that the response had not begun when the request was taken back, which was
+	// after the time to first token of the result.
+	Overdue
 	// NotSent means that the request was not sent to the endpoint.
 	NotSent
 )
@@ -138,7 +141,7 @@
 	Tracker      *tracker.Tracker
 	Exchanger    *exchanger.Exchanger
 	RetryBudgets *RetryBudgets
-	// Bodies is the memory that the bodies of all requests may take.
+	// Bodies is the memory that all requests in progress and their responses may take.
 	Bodies   *reserver.Budget
 	Logger   hclog.Logger
 	Counters *Counters
@@ -148,12 +151,13 @@
 type Forwarder struct {
 	Dependencies
 	admission *admission
+	waits     *waitRecords
 }
 
 // New returns a forwarder.
 func New(dependencies Dependencies) *Forwarder {
 	stopping := func() bool { return dependencies.ControlPlane.View().Draining }
-	f := &Forwarder{Dependencies: dependencies, admission: newAdmission(dependencies.Tracker, stopping, dependencies.Logger)}
+	f := &Forwarder{Dependencies: dependencies, waits: newWaitRecords(), admission: newAdmission(dependencies.Tracker, stopping, dependencies.Logger)}
 	dependencies.Counters.registerAdmission(f.admission)
 	return f
 }
@@ -168,14 +172,19 @@
 	route   *matcher.Route
 	account *matcher.Account
 	body    []byte
-	// memory is what the request holds of the memory for bodies.
+	// memory is what the request and its response hold of that memory, but for what is read
+	// on for a slow client.
 	memory  *reserver.Reservation
 	arrived time.Time
 	// deadline is when the response must be complete.
 	deadline time.Time
+	// forwardedAt is when the client got the last event, or the arrival of the request.
+	forwardedAt time.Time
 	// tried holds the ids of the endpoints that must not be chosen again, because
 	// they have already been sent the request.
 	tried []string
+	// lastQuery is what the endpoint of the latest attempt was chosen by.
+	lastQuery tracker.Query
 	// attemptsReached counts the attempts that reached an endpoint.
 	attemptsReached int
 	// possibleRuns counts the attempts in which an endpoint may have run the
@@ -189,7 +198,7 @@
 	// budget.
 	retryPaid bool
 	// previouslyFailed is set if an attempt of the request got a server error or no
-	// complete response.
+	// complete response or, without a session, none in time.
 	previouslyFailed bool
 	// ttft is the time to first token of the latest attempt, which is measured up to
 	// the response header.
@@ -209,6 +218,7 @@
 // ServeHTTP implements http.Handler.
 func (f *Forwarder) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
 	c := &call{Forwarder: f, writer: writer, http: request, view: f.ControlPlane.View(), memory: f.Bodies.NewReservation(), arrived: time.Now()}
+	c.forwardedAt = c.arrived
 	defer c.memory.Release()
 	f.Counters.Requests.Inc()
 	if c.view.Draining || len(request.TransferEncoding) > 0 {
--- a/internal/forwarder/stream.go
+++ b/internal/forwarder/stream.go
@@ -16,50 +16,55 @@
 
 // forwardStream forwards a response event by event, unless the request escalates
 // to a larger model.
-func (c *call) forwardStream(ctx context.Context, choice *tracker.Choice, response *exchanger.Response, info ResponseInfo) (attemptStatus, *bufferedResponse, *classifier.Error) {
+func (c *call) forwardStream(ctx context.Context, choice *tracker.Choice, watch *attemptWatch, response *exchanger.Response, info ResponseInfo) (attemptStatus, *bufferedResponse, *classifier.Error) {
 	err := checkResponse(response.Status, info)
 	if err == nil && c.escalate(choice, info) {
 		return statusDiscarded, nil, nil
 	}
 	events := newEventBuffer(c.lastEventID)
 	startedAt := time.Now()
+	ahead, client := c.readAhead(ctx, choice, response)
+	defer ahead.stop()
 	buffer := make([]byte, streamBufferBytes)
 	recorded := false
 	for err == nil {
 		var n int
-		n, err = response.Read(buffer)
+		n, err = ahead.Read(buffer)
 		complete, eventErr := events.add(buffer[:n])
 		if !recorded && events.count > maxCrashEvents {
 			recorded = true
 			c.recordServed(startedAt)
 		}
+		if eventErr == nil && !c.memory.Grow(c.held()-streamBufferBytes+int64(events.size())) {
+			eventErr = errNoMemory
+		}
 		if eventErr != nil {
 			err = eventErr
 		}
+		watch.eventsArrived(events.count, events.last != "")
 		if len(complete) > 0 {
-			if writeErr := c.writeEvents(response, complete, events.last); writeErr != nil {
+			if writeErr := c.writeEvents(client, response, complete, events.last); writeErr != nil {
 				choice.End(tracker.Neutral, 0)
-				return statusFailed, nil, classifier.Wrap(classifier.ClientDisconnected, writeErr, "failed to write to the client")
+				return statusAborted, nil, classifier.Wrap(classifier.ClientDisconnected, writeErr, "failed to write to the client")
 			}
 		}
+		watch.eventsForwarded()
 	}
-	isEnd := errors.Is(err, io.EOF)
-	if isEnd {
-		if endErr := response.CheckEnd(ctx); endErr != nil {
-			isEnd, err = false, endErr
-		}
-	}
-	if isEnd && events.incomplete() == 0 && (events.count > 0 || c.resumedAtEnd(response)) {
+	if errors.Is(err, io.EOF) && events.incomplete() == 0 && (events.count > 0 || c.resumedAtEnd(response)) {
 		if !recorded && events.count > 0 {
 			c.recordServed(startedAt)
 		}
-		pace := decodePace(time.Since(startedAt), events.count)
+		watch.complete(ahead.endedAt)
+		pace := decodePace(ahead.endedAt.Sub(startedAt), events.count)
 		choice.End(tracker.Success, pace)
 		c.recordResult(choice, Completed, c.ttft, pace)
 		c.countServed()
 		c.log("stream served", c.endpointFields(choice, "first", noter.FormatDuration(c.ttft), "events", events.count, "pace", noter.FormatDuration(pace), "confidence", info.Confidence)...)
 		return statusDone, nil, nil
 	}
+	if watch.tookBack() {
+		return c.handleSilentStream(choice, watch, err, events)
+	}
 	return c.handleBrokenStream(ctx, choice, err, events)
 }
 
@@ -72,32 +77,41 @@
 
 // writeEvents writes complete events to the client, preceded by the response
 // header if it has not been written yet.
-func (c *call) writeEvents(response *exchanger.Response, complete []byte, last EventID) error {
+func (c *call) writeEvents(client *clientWriter, response *exchanger.Response, complete []byte, last EventID) error {
 	if !c.responseStarted {
 		c.Counters.FirstEvent.UpdateDuration(c.arrived)
 		c.startResponse(http.StatusOK, c.Codec.ClientHeader(response.Header))
 	}
-	if _, err := c.writer.Write(complete); err != nil {
+	if _, err := client.Write(complete); err != nil {
 		return err
 	}
 	c.lastEventID = last
-	return http.NewResponseController(c.writer).Flush()
+	c.forwardedAt = time.Now()
+	return client.Flush()
 }
 
 // handleBrokenStream handles a stream that was truncated, aborted or corrupt. It cannot go
 // on at another endpoint if the last event that was forwarded has no id.
 func (c *call) handleBrokenStream(ctx context.Context, choice *tracker.Choice, err error, events *eventBuffer) (attemptStatus, *bufferedResponse, *classifier.Error) {
-	c.endIncomplete(ctx, choice)
+	if errors.Is(err, errNoMemory) {
+		choice.End(tracker.Neutral, 0)
+	} else {
+		c.endIncomplete(ctx, choice)
+	}
 	if events.count <= maxCrashEvents {
 		c.checkCrash(ctx, choice, true)
 	}
 	c.log("endpoint's stream is truncated, aborted or corrupt", c.endpointFields(choice, "error", err, "events", events.count, "after", c.lastEventID)...)
 	c.Counters.Resumes.Inc()
-	status := statusFailed
+	return brokenStatus(events), nil, classifier.Wrap(classifier.EndpointFailed, err, "the stream of endpoint %s is truncated, aborted or corrupt", choice.ID)
+}
+
+// brokenStatus returns the status of an attempt whose stream ended early.
+func brokenStatus(events *eventBuffer) attemptStatus {
 	if events.count > 0 && events.last == "" {
-		status = statusAborted
+		return statusAborted
 	}
-	return status, nil, classifier.Wrap(classifier.EndpointFailed, err, "the stream of endpoint %s is truncated, aborted or corrupt", choice.ID)
+	return statusFailed
 }
 
 // handleNoContinuation handles a response that is not the rest of a stream whose first
--- a/internal/tracker/choice.go
+++ b/internal/tracker/choice.go
@@ -61,7 +61,9 @@
 	startedAt time.Time
 	// prefillDone is set once the prompt no longer counts as pending prefill.
 	prefillDone bool
-	ended       bool
+	// responseEndedAt is when the endpoint had sent the whole response, or zero.
+	responseEndedAt time.Time
+	ended           bool
 	Registration
 	// Load is the endpoint's load in requests when it was chosen.
 	Load int
@@ -106,6 +108,7 @@
 	endpoint.inflight++
 	endpoint.pendingPrefill += prefill
 	t.zoneReachability(endpoint.Zone).recordPick(now)
+	endpoint.silence.recordPick(now)
 	limited := t.spendLimit(endpoint, now)
 	return &Choice{
 		tracker:      t,
@@ -249,7 +252,7 @@
 		Slots:    endpoint.Slots,
 		Load:     load,
 		Slowness: health.Slowness(endpoint.Address),
-		Ejected:  health.Ejected(endpoint.Address, now) || now.Before(endpoint.downUntil) || t.zoneBlocked(endpoint.Zone, now),
+		Ejected:  health.Ejected(endpoint.Address, now) || now.Before(endpoint.downUntil) || endpoint.silence.blocked(now) || t.zoneBlocked(endpoint.Zone, now),
 		Probing:  health.Probing(endpoint.Address),
 		Backlog:  max(endpoint.pendingPrefill, endpoint.remainingQueueDelay(now), t.slotWait(endpoint, load)),
 	}
@@ -291,18 +294,18 @@
 	if c.ended {
 		return
 	}
+	now := t.now()
 	c.ended = true
-	c.endpoint.inflight--
+	c.endResponse(now)
 	c.finishPrefill()
 	if outcome == Neutral {
 		return
 	}
-	now := t.now()
 	health := t.serviceHealth(c.Service)
 	switch outcome {
 	case Success:
 		c.endpoint.connectFailures = 0
-		t.recordDuration(c.Service, time.Duration(float64(now.Sub(c.startedAt))/c.Slowdown))
+		t.recordDuration(c.Service, time.Duration(float64(c.responseEndedAt.Sub(c.startedAt))/c.Slowdown))
 		t.recordEventTime(c, pace)
 		health.RecordSuccess(c.Address, pace, now)
 		health.ReduceNextEjection(c.Address, now)
@@ -341,6 +344,7 @@
 		return
 	}
 	c.finishPrefill()
+	c.endpoint.silence.recordResponse()
 	now := t.now()
 	c.endpoint.queueDelay = max(0, elapsed-c.prefill)
 	c.endpoint.queueDelayAt = now
@@ -355,6 +359,23 @@
 	}
 }
 
+// ResponseEnded records that the endpoint has sent the whole response, so that its slot is free although
+// the client may still be reading. Calls after the first, or after End, have no effect.
+func (c *Choice) ResponseEnded() {
+	t := c.tracker
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	c.endResponse(t.now())
+}
+
+// endResponse removes the request from the endpoint's load, once.
+func (c *Choice) endResponse(now time.Time) {
+	if c.responseEndedAt.IsZero() {
+		c.responseEndedAt = now
+		c.endpoint.inflight--
+	}
+}
+
 // finishPrefill removes the prompt from the endpoint's pending prefill, once.
 func (c *Choice) finishPrefill() {
 	if !c.prefillDone {
--- a/internal/tracker/tracker.go
+++ b/internal/tracker/tracker.go
@@ -78,6 +78,8 @@
 	// row.
 	downUntil       time.Time
 	connectFailures int
+	// silence is what is known of requests that waited too long there.
+	silence silence
 	// misdirected is set when another endpoint responded at the address.
 	misdirected bool
 	// removeAt is when an endpoint whose registration expired is removed; zero
@@ -184,6 +186,7 @@
 		endpoint.slowdown = slowdown{}
 		endpoint.downUntil = time.Time{}
 		endpoint.connectFailures = 0
+		endpoint.silence = silence{}
 		endpoint.misdirected = false
 		return
 	}
