--- a/internal/forwarder/session_test.go
+++ b/internal/forwarder/session_test.go
@@ -3,6 +3,8 @@
 import (
 	"testing"
 
+	"github.com/VictoriaMetrics/metrics"
+
 	"quetzalgrade.example/quetzalgrade/internal/matcher"
 	"quetzalgrade.example/quetzalgrade/internal/tracker"
 )
@@ -38,7 +40,12 @@
 	for name, row := range rows {
 		t.Run(name, func(t *testing.T) {
 			control := &versionRecorder{}
-			c := &call{Forwarder: New(Dependencies{ControlPlane: control}), Request: Request{Session: row.session}, route: &matcher.Route{}}
+			c := &call{
+				Forwarder: New(Dependencies{ControlPlane: control, Counters: NewCounters(metrics.NewSet())}),
+				Request:   Request{Session: row.session},
+				view:      View{Table: matcher.NewTable(matcher.Declaration{})},
+				route:     &matcher.Route{},
+			}
 			c.recordResult(&tracker.Choice{}, row.outcome, 0, 0)
 			c.query("")
 			if got := control.query.PreviouslyFailed; got != row.avoids {
--- a/internal/forwarder/wait_test.go
+++ b/internal/forwarder/wait_test.go
@@ -16,7 +16,7 @@
 	budget := budgets.ForService("ledger")
 	for budget.TrySpendAbove(retryReserve) {
 	}
-	w := &attemptWatch{load: supervisor.NewLoad(), call: &call{Forwarder: New(Dependencies{RetryBudgets: budgets}), route: &matcher.Route{Service: "ledger"}}}
+	w := &attemptWatch{load: supervisor.NewLoad(), call: &call{Forwarder: New(Dependencies{Counters: NewCounters(metrics.NewSet()), RetryBudgets: budgets}), route: &matcher.Route{Service: "ledger"}}}
 	for range 100 {
 		if w.spend() {
 			t.Fatalf("spend() without retries got true, want false")
