--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -134,6 +134,7 @@
 		PrefixKey:     prefixKey,
 		SharedTokens:  prefixTokens,
 		PromptTokens:  c.PromptTokens,
+		TargetLatency: c.route.TargetLatency,
 		Events:        c.expectedEvents(),
 		Tried:         c.tried,
 	}
--- a/internal/forwarder/wait_test.go
+++ b/internal/forwarder/wait_test.go
@@ -3,6 +3,8 @@
 import (
 	"testing"
 
+	"github.com/VictoriaMetrics/metrics"
+
 	"quetzalgrade.example/quetzalgrade/internal/matcher"
 	"quetzalgrade.example/quetzalgrade/internal/supervisor"
 )
--- a/internal/picker/picker.go
+++ b/internal/picker/picker.go
@@ -43,19 +43,30 @@
 	Expected time.Duration
 }
 
-// crossZonePenalty is the time by which an endpoint of another zone must be
-// faster to be preferred.
-const crossZonePenalty = 3 * time.Millisecond
+const (
+	// minCrossZonePenalty is the least time by which an endpoint of another zone must be
+	// faster to be preferred.
+	minCrossZonePenalty = 3 * time.Millisecond
+	// crossZoneShare is that time as a share of the target latency: clients do not notice
+	// less, and bytes between zones are paid for.
+	crossZoneShare = 0.02
+)
+
+// CrossZonePenalty returns the time by which an endpoint of another zone must be faster to be
+// preferred for a request with a target latency, or with none if it is 0.
+func CrossZonePenalty(target time.Duration) time.Duration {
+	return max(minCrossZonePenalty, time.Duration(crossZoneShare*float64(target)))
+}
 
 // timeToFirstToken returns the expected time to first token, less the prefill
 // time that is the same at every endpoint.
-func (e Endpoint) timeToFirstToken(zone string) time.Duration {
+func (e Endpoint) timeToFirstToken(request Request) time.Duration {
 	total := e.Backlog + e.UncachedPrefill
 	if e.Slowness > 1 {
 		total = time.Duration(float64(total) * e.Slowness)
 	}
-	if e.Zone != zone {
-		total += crossZonePenalty
+	if e.Zone != request.Zone {
+		total += CrossZonePenalty(request.TargetLatency)
 	}
 	return total
 }
@@ -76,6 +87,8 @@
 	// PrefillBound requests go to the endpoint with the shortest expected time
 	// to first token, because prefill is most of their work.
 	PrefillBound bool
+	// TargetLatency is the time within which the response should begin, or 0 for none.
+	TargetLatency time.Duration
 	// Forecast is set if the candidates' Expected times are known. The request goes to the
 	// shortest of a sample of them.
 	Forecast bool
@@ -139,7 +152,7 @@
 		return shortest(request.Zone, candidates, random), true
 	}
 	if request.PrefillBound {
-		return minBy(candidates, func(e Endpoint) float64 { return float64(e.timeToFirstToken(request.Zone)) }), true
+		return minBy(candidates, func(e Endpoint) float64 { return float64(e.timeToFirstToken(request)) }), true
 	}
 	preferredZone := preferLocalZone(request.Zone, candidates)
 	if request.PrefixKey != 0 && !options.NoAffinity {
--- a/internal/tracker/choice.go
+++ b/internal/tracker/choice.go
@@ -30,6 +30,8 @@
 	// that of the whole prompt.
 	SharedTokens int
 	PromptTokens int
+	// TargetLatency is the time within which the response should begin, or 0 for none.
+	TargetLatency time.Duration
 	// Events is the expected number of events of the response; 0 means unknown.
 	Events int
 	// SubsetShare is the share of the eligible endpoints that may be used; 0
@@ -91,7 +93,7 @@
 	now := t.now()
 	endpoints := t.eligible(query, now)
 	candidates := t.candidates(endpoints, query, now)
-	request := picker.Request{Zone: t.zone, PrefillBound: query.PromptTokens > 0, Forecast: t.forecasts(query.Service)}
+	request := picker.Request{Zone: t.zone, PrefillBound: query.PromptTokens > 0, TargetLatency: query.TargetLatency, Forecast: t.forecasts(query.Service)}
 	chosen, ok := picker.Pick(request, candidates, picker.Options{}, 0, t.random)
 	if !ok {
 		return nil, false
