--- a/internal/picker/picker_test.go
+++ b/internal/picker/picker_test.go
@@ -102,3 +102,32 @@
 		t.Error("Probing() got false, want true: responses to requests from before the ejection must not count")
 	}
 }
+
+// Bytes between zones are paid for: a request must not cross to another zone for a gain that its
+// client does not notice.
+func TestPickCrossesZonesForWhatClientsNotice(t *testing.T) {
+	rows := map[string]struct {
+		target time.Duration
+		faster time.Duration
+		want   string
+	}{
+		"no target, a little faster":      {0, 2 * time.Millisecond, "a"},
+		"no target, faster":               {0, 10 * time.Millisecond, "b"},
+		"short target, faster":            {120 * time.Millisecond, 10 * time.Millisecond, "b"},
+		"long target, not noticed":        {8 * time.Second, 100 * time.Millisecond, "a"},
+		"long target, faster by a second": {8 * time.Second, time.Second, "b"},
+	}
+	for name, row := range rows {
+		t.Run(name, func(t *testing.T) {
+			endpoints := []picker.Endpoint{
+				{Address: netip.MustParseAddrPort("10.0.0.1:80"), Zone: "a", Slots: 8, Backlog: 2 * time.Second},
+				{Address: netip.MustParseAddrPort("10.0.0.2:80"), Zone: "b", Slots: 8, Backlog: 2*time.Second - row.faster},
+			}
+			request := picker.Request{Zone: "a", PrefillBound: true, TargetLatency: row.target}
+			got, ok := picker.Pick(request, endpoints, picker.Options{}, 0, rand.New(rand.NewPCG(1, 2)))
+			if !ok || got.Zone != row.want {
+				t.Errorf("Pick() got an endpoint of zone %q, want zone %q", got.Zone, row.want)
+			}
+		})
+	}
+}
