Share no random source and no list with the membership after a stop

Cause: keeper.Do returns when its context ends although the actor may still run the command.

Change: the tasks of the prober end without touching what they share.

--- a/internal/prober/prober.go
+++ b/internal/prober/prober.go
@@ -90,10 +90,11 @@
 	p.Join(ctx)
 	joinedAt := time.Now()
 	random := p.newRandom(0)
-	for {
+	// When ctx ends, the state's actor may still use the random source of a probe.
+	for ctx.Err() == nil {
 		sleep(ctx, time.Duration((1-probeJitter+2*probeJitter*random.Float64())*float64(probeInterval)))
 		if ctx.Err() != nil {
-			return ctx.Err()
+			break
 		}
 		if time.Since(joinedAt) >= joinInterval {
 			p.Join(ctx)
@@ -101,6 +102,7 @@
 		}
 		p.probeNext(ctx, random)
 	}
+	return ctx.Err()
 }
 
 // probeNext probes the next member. It joins the other daemons if there is none.
@@ -242,7 +244,9 @@
 			p.BeforeUrgent(ctx)
 		}
 		var members []gossiper.Member
-		_ = p.Members.Do(ctx, func(state *gossiper.Membership) { members = state.FanoutTargets(random) })
+		if err := p.Members.Do(ctx, func(state *gossiper.Membership) { members = state.FanoutTargets(random) }); err != nil {
+			continue
+		}
 		var group sync.WaitGroup
 		for _, member := range members {
 			// A member that does not respond is found by the regular probes.
@@ -256,11 +260,15 @@
 // Join probes the seeds that are no members, to learn the members that they know.
 func (p *Prober) Join(ctx context.Context) {
 	known := map[netip.AddrPort]bool{}
-	_ = p.Members.Do(ctx, func(state *gossiper.Membership) {
+	err := p.Members.Do(ctx, func(state *gossiper.Membership) {
 		for _, member := range state.Members() {
 			known[member.Address] = true
 		}
 	})
+	if err != nil {
+		// The state's actor may still fill the map.
+		return
+	}
 	for _, seed := range p.Seeds() {
 		if !known[seed] {
 			_ = p.Probe(ctx, gossiper.Member{Address: seed}, true)
