Read one topic instead of four while the log is away

Change: while reads of the operators' topic fail, the other topics of a daemon pause for up to 2 s after a failed read, and go on at once when it succeeds.

--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -219,6 +219,9 @@
 	}
 	r.endpointTopic = subscriber.New("endpoints", deps.EndpointTopic, endpointTiming, deps.Clock, r.applyRegistrations, r.logger)
 	r.quarantine = quarantiner.New(r.logQuarantine)
+	for _, topic := range []*subscriber.Subscriber{r.endpointTopic, r.rollouts.statusTopic, r.rollouts.resultsTopic} {
+		topic.FollowOutages(r.operatorTopic)
+	}
 	r.interruptReads(r.operatorTopic, r.endpointTopic, r.rollouts.statusTopic, r.rollouts.resultsTopic)
 	r.shareReads()
 	r.contacts = newContacts(r)
--- a/internal/subscriber/subscriber.go
+++ b/internal/subscriber/subscriber.go
@@ -98,6 +98,11 @@
 	// minBackoff and maxBackoff bound the pause after a failed read.
 	minBackoff = 50 * time.Millisecond
 	maxBackoff = 600 * time.Millisecond
+	// maxFollowedPause bounds the pause of a topic after a failed read while reads of the
+	// topic that it follows fail too, recoveryInterval is how often it looks whether they
+	// still do.
+	maxFollowedPause = 2 * time.Second
+	recoveryInterval = 50 * time.Millisecond
 )
 
 // Subscriber follows one topic. It is safe for concurrent use, except that only
@@ -113,6 +118,10 @@
 	peer   Peer
 	window *window
 
+	// followed is the topic whose reads show for this one, too, when the log is back. It is
+	// nil if there is none.
+	followed *Subscriber
+
 	// unreadCount is the number of reads in a row for which the peer was not ready.
 	// Only Run uses it.
 	unreadCount int
@@ -187,6 +196,11 @@
 // other than by Interrupt. It must be called before Run.
 func (s *Subscriber) OnSilence(handle func()) { s.onSilence = handle }
 
+// FollowOutages lets another topic's reads show when the log is back: while its reads and this
+// topic's fail, this topic is read less often. In an outage of the log all daemons would otherwise
+// read all topics again and again. It must be called before Run.
+func (s *Subscriber) FollowOutages(of *Subscriber) { s.followed = of }
+
 // errInterrupted is the error of a read that Interrupt has ended.
 var errInterrupted = errors.New("reads of another topic get no response; the connection may be silent")
 
@@ -250,11 +264,23 @@
 			continue
 		}
 		sleep(ctx, time.Duration((0.5+rand.Float64()/2)*float64(backoff)))
+		s.awaitRecovery(ctx)
 		backoff = min(2*backoff, maxBackoff)
 	}
 	return ctx.Err()
 }
 
+// awaitRecovery waits while reads of the followed topic fail, for maxFollowedPause at most: they
+// may fail for a reason of their own.
+func (s *Subscriber) awaitRecovery(ctx context.Context) {
+	if s.followed == nil {
+		return
+	}
+	for startedAt := s.clock(); s.followed.isFailing() && s.clock()-startedAt < maxFollowedPause && ctx.Err() == nil; {
+		sleep(ctx, recoveryInterval)
+	}
+}
+
 func sleep(ctx context.Context, pause time.Duration) {
 	timer := time.NewTimer(pause)
 	defer timer.Stop()
