Split the attempt at an endpoint and the end of a stream

Change: endpointRequest, handleFailure, recordLoad and completeStream do one job each. An overlong comment is wrapped. No change of behaviour.

--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -199,6 +199,39 @@
 	c.rateLimit = RateLimit{}
 	c.tried = append(c.tried, choice.ID)
 	sentAt := time.Now()
+	attemptCtx, watch := c.watchAttempt(ctx, choice)
+	defer watch.stop()
+	response, failure := c.Exchanger.Do(attemptCtx, choice.Address, c.endpointRequest(choice, watch))
+	if failure != nil {
+		return c.handleFailure(ctx, choice, watch, failure)
+	}
+	defer response.Close()
+	info := c.Codec.ParseResponse(response.Status, response.Header)
+	if response.Ambiguous {
+		return c.handleAmbiguous(choice, response, info)
+	}
+	c.recordLoad(choice, info)
+	c.recordRateLimit(choice, info, sentAt)
+	c.recordNotices(choice, info)
+	c.attemptsReached++
+	if info.Refused {
+		return c.handleRefusal(choice, response, info)
+	}
+	c.possibleRuns++
+	c.ttft = time.Since(sentAt)
+	choice.ResponseStarted(c.ttft)
+	watch.responseStarted(c.ttft)
+	if response.Status == http.StatusOK && c.route.Kind == matcher.Stream {
+		return c.forwardStream(ctx, choice, watch, response, info)
+	}
+	if c.responseStarted {
+		return c.handleNoContinuation(ctx, choice, response)
+	}
+	return c.forwardWhole(ctx, choice, response, info)
+}
+
+// endpointRequest returns the request in the form in which the chosen endpoint gets it.
+func (c *call) endpointRequest(choice *tracker.Choice, watch *attemptWatch) *exchanger.Request {
 	attempt := Attempt{
 		Remaining: c.remaining(),
 		Endpoint:  choice.ID,
@@ -211,9 +244,7 @@
 	if c.account != nil {
 		attempt.Account = c.account.Name
 	}
-	attemptCtx, watch := c.watchAttempt(ctx, choice)
-	defer watch.stop()
-	response, failure := c.Exchanger.Do(attemptCtx, choice.Address, &exchanger.Request{
+	return &exchanger.Request{
 		Method: c.http.Method,
 		Target: c.http.RequestURI,
 		Host:   c.http.Host,
@@ -223,44 +254,17 @@
 		// The endpoint may be drained or evacuated while the connection is opened.
 		Permitted: choice.Permitted,
 		Connected: watch.connected,
-	})
-	if failure != nil && errors.Is(failure, exchanger.ErrNotPermitted) {
-		return c.handleNotPermitted(choice)
-	}
-	if failure != nil && watch.tookBack() {
-		return c.handleTakenBack(choice, watch, failure)
-	}
-	if failure != nil {
-		return c.handleNoResponse(ctx, choice, failure)
-	}
-	defer response.Close()
-	info := c.Codec.ParseResponse(response.Status, response.Header)
-	if response.Ambiguous {
-		return c.handleAmbiguous(choice, response, info)
 	}
+}
+
+// recordLoad records the load that the response reports.
+func (c *call) recordLoad(choice *tracker.Choice, info ResponseInfo) {
 	if info.HasLoad {
 		choice.ReportLoad(info.Running, info.Waiting, info.Slowdown)
 	}
 	if info.InvalidLoad {
 		c.Counters.InvalidLoads.Inc()
 	}
-	c.recordRateLimit(choice, info, sentAt)
-	c.recordNotices(choice, info)
-	c.attemptsReached++
-	if info.Refused {
-		return c.handleRefusal(choice, response, info)
-	}
-	c.possibleRuns++
-	c.ttft = time.Since(sentAt)
-	choice.ResponseStarted(c.ttft)
-	watch.responseStarted(c.ttft)
-	if response.Status == http.StatusOK && c.route.Kind == matcher.Stream {
-		return c.forwardStream(ctx, choice, watch, response, info)
-	}
-	if c.responseStarted {
-		return c.handleNoContinuation(ctx, choice, response)
-	}
-	return c.forwardWhole(ctx, choice, response, info)
 }
 
 // recordRateLimit records what the response to a request, which was sent at a time, says of
@@ -275,7 +279,7 @@
 	}
 }
 
-// recordNotices records what the response says of the endpoint's start and asks this daemon for.
+// recordNotices records how long the endpoint stays cold and what it asks this daemon for.
 // Another endpoint at the address says nothing of this one.
 func (c *call) recordNotices(choice *tracker.Choice, info ResponseInfo) {
 	if info.Misdirected {
@@ -295,6 +299,18 @@
 	}
 }
 
+// handleFailure handles an attempt without a response, for whatever reason.
+func (c *call) handleFailure(ctx context.Context, choice *tracker.Choice, watch *attemptWatch, failure *exchanger.Failure) (attemptStatus, *bufferedResponse, *classifier.Error) {
+	switch {
+	case errors.Is(failure, exchanger.ErrNotPermitted):
+		return c.handleNotPermitted(choice)
+	case watch.tookBack():
+		return c.handleTakenBack(choice, watch, failure)
+	default:
+		return c.handleNoResponse(ctx, choice, failure)
+	}
+}
+
 // handleNotPermitted handles an endpoint that may not get requests any more since it was chosen.
 // What the attempt took from the retry budget is left to the next one.
 func (c *call) handleNotPermitted(choice *tracker.Choice) (attemptStatus, *bufferedResponse, *classifier.Error) {
@@ -305,7 +321,7 @@
 	return statusNotPermitted, nil, nil
 }
 
-// handleNoResponse handles an attempt that got no response.
+// handleNoResponse handles an attempt that failed before a response began.
 func (c *call) handleNoResponse(ctx context.Context, choice *tracker.Choice, failure *exchanger.Failure) (attemptStatus, *bufferedResponse, *classifier.Error) {
 	status, outcome, trackerOutcome := statusFailed, Incomplete, tracker.Failure
 	if failure.Stage == exchanger.Unsent {
--- a/internal/forwarder/stream.go
+++ b/internal/forwarder/stream.go
@@ -55,11 +55,7 @@
 			c.recordServed(startedAt)
 		}
 		watch.complete(ahead.endedAt)
-		pace := decodePace(ahead.endedAt.Sub(startedAt), events.count)
-		choice.End(tracker.Success, pace)
-		c.recordResult(choice, Completed, c.ttft, pace)
-		c.countServed()
-		c.log("stream served", c.endpointFields(choice, "first", noter.FormatDuration(c.ttft), "events", events.count, "pace", noter.FormatDuration(pace), "confidence", info.Confidence)...)
+		c.completeStream(choice, info, ahead.endedAt.Sub(startedAt), events.count)
 		return statusDone, nil, nil
 	}
 	if watch.tookBack() {
@@ -68,6 +64,15 @@
 	return c.handleBrokenStream(ctx, choice, err, events)
 }
 
+// completeStream records a complete stream, which took a time from its beginning.
+func (c *call) completeStream(choice *tracker.Choice, info ResponseInfo, took time.Duration, events int) {
+	pace := decodePace(took, events)
+	choice.End(tracker.Success, pace)
+	c.recordResult(choice, Completed, c.ttft, pace)
+	c.countServed()
+	c.log("stream served", c.endpointFields(choice, "first", noter.FormatDuration(c.ttft), "events", events, "pace", noter.FormatDuration(pace), "confidence", info.Confidence)...)
+}
+
 // resumedAtEnd reports whether a stream without events is the valid end of a
 // resumed stream: the earlier attempt broke after its last event had been
 // forwarded.
--- a/internal/forwarder/whole.go
+++ b/internal/forwarder/whole.go
@@ -86,8 +86,8 @@
 	return streamBufferBytes
 }
 
-// readBuffered reads the body of a response, or one byte more than the limit of a longer one. It returns an error if the announced length is over the bound of
-// all responses.
+// readBuffered reads the body of a response, or one byte more than the limit of a longer one. It
+// returns an error if the announced length is over the bound of all responses.
 func readBuffered(response *exchanger.Response, limit int) ([]byte, error) {
 	if length := response.ContentLength(); length > maxResponseBytes {
 		return nil, errors.Errorf("body of %d bytes, at most %d are allowed", length, maxResponseBytes)
