End a choice of an endpoint in one place

Change: Choice.end does it and says whether the choice had ended before. Run: go build of all packages, go vet and go test of tracker.

--- a/internal/tracker/choice.go
+++ b/internal/tracker/choice.go
@@ -293,14 +293,8 @@
 	t := c.tracker
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if c.ended {
-		return
-	}
 	now := t.now()
-	c.ended = true
-	c.endResponse(now)
-	c.finishPrefill()
-	if outcome == Neutral {
+	if !c.end(now) || outcome == Neutral {
 		return
 	}
 	health := t.serviceHealth(c.Service)
@@ -370,6 +364,18 @@
 	c.endResponse(t.now())
 }
 
+// end removes the request from what the endpoint has to do. It returns false if the choice had ended
+// before.
+func (c *Choice) end(now time.Time) bool {
+	if c.ended {
+		return false
+	}
+	c.ended = true
+	c.endResponse(now)
+	c.finishPrefill()
+	return true
+}
+
 // endResponse removes the request from the endpoint's load, once.
 func (c *Choice) endResponse(now time.Time) {
 	if c.responseEndedAt.IsZero() {
--- a/internal/tracker/silence.go
+++ b/internal/tracker/silence.go
@@ -50,14 +50,10 @@
 	t := c.tracker
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if c.ended {
-		return
-	}
 	now := t.now()
-	c.ended = true
-	c.endResponse(now)
-	c.finishPrefill()
-	c.endpoint.silence.recordTakeBack(c.startedAt, now)
+	if c.end(now) {
+		c.endpoint.silence.recordTakeBack(c.startedAt, now)
+	}
 }
 
 // ReportRefusal records that the endpoint refused the request, so that it is not silent.
