Name the counts of versions after the endpoints that they include

Cause: AllVersionCounts counts endpoints of evacuated zones and VersionCounts does not, although the names differ only as if by the number of services. Change: InServiceVersionCounts and AvailableVersionCounts, after the functions inService and available that they filter by. No change of behaviour. Run: go build of all packages, go vet and go test of tracker and runner.

--- a/internal/runner/progress.go
+++ b/internal/runner/progress.go
@@ -99,10 +99,10 @@
 // progressWrite returns a write of the rollout's next state, or nil if the state
 // does not change or its write is not due.
 func (m *rolloutManager) progressWrite(rollout *rolloutState, now time.Duration) func(context.Context) error {
-	newEndpoints, oldEndpoints := countByTarget(m.tracker.VersionCounts(rollout.order.Service), rollout.order.Target)
+	newEndpoints, oldEndpoints := countByTarget(m.tracker.AvailableVersionCounts(rollout.order.Service), rollout.order.Target)
 	if rollout.initialOldEndpoints == 0 {
 		// An evacuated zone may come back during the rollout.
-		_, rollout.initialOldEndpoints = countByTarget(m.tracker.AllVersionCounts()[rollout.order.Service], rollout.order.Target)
+		_, rollout.initialOldEndpoints = countByTarget(m.tracker.InServiceVersionCounts()[rollout.order.Service], rollout.order.Target)
 	}
 	if _, verified := m.statusTopic.VerifiedAge(); !verified {
 		// The states that other daemons have written are not known yet.
--- a/internal/runner/rollouts.go
+++ b/internal/runner/rollouts.go
@@ -261,7 +261,7 @@
 // endpointsInUse returns the number of endpoints that requests of the new version
 // are sent to.
 func (m *rolloutManager) endpointsInUse(rollout *rolloutState) int {
-	endpoints := m.tracker.VersionCounts(rollout.order.Service)[rollout.order.Target]
+	endpoints := m.tracker.AvailableVersionCounts(rollout.order.Service)[rollout.order.Target]
 	if rollout.state != promoter.Canary {
 		return endpoints
 	}
--- a/internal/runner/versions.go
+++ b/internal/runner/versions.go
@@ -43,7 +43,7 @@
 func (m *rolloutManager) updateCurrentVersions() {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	for service, versions := range m.tracker.AllVersionCounts() {
+	for service, versions := range m.tracker.InServiceVersionCounts() {
 		if current := m.currentVersions[service]; versions[current] == 0 {
 			m.currentVersions[service] = mostCommonVersion(versions)
 		}
--- a/internal/tracker/evacuation_test.go
+++ b/internal/tracker/evacuation_test.go
@@ -90,11 +90,11 @@
 			if used != row.want {
 				t.Errorf("endpoints that get requests got %d, want %d", used, row.want)
 			}
-			if got := tr.VersionCounts("helper")["v1"]; got != row.want {
-				t.Errorf("VersionCounts() got %d, want %d", got, row.want)
+			if got := tr.AvailableVersionCounts("helper")["v1"]; got != row.want {
+				t.Errorf("AvailableVersionCounts() got %d, want %d", got, row.want)
 			}
-			if endpoints, _ := tr.Counts(); tr.AllVersionCounts()["helper"]["v1"] != endpoints {
-				t.Errorf("AllVersionCounts() got %v, want all %d", tr.AllVersionCounts(), endpoints)
+			if endpoints, _ := tr.Counts(); tr.InServiceVersionCounts()["helper"]["v1"] != endpoints {
+				t.Errorf("InServiceVersionCounts() got %v, want all %d", tr.InServiceVersionCounts(), endpoints)
 			}
 		})
 	}
--- a/internal/tracker/tracker.go
+++ b/internal/tracker/tracker.go
@@ -300,12 +300,14 @@
 	return count
 }
 
-// AllVersionCounts returns for each service the number of endpoints in service by
-// version, including those of evacuated zones.
-func (t *Tracker) AllVersionCounts() map[string]map[string]int { return t.countVersions(t.inService) }
+// InServiceVersionCounts returns for each service the number of endpoints in service by
+// version, including those of evacuated zones: an evacuation says nothing about versions.
+func (t *Tracker) InServiceVersionCounts() map[string]map[string]int {
+	return t.countVersions(t.inService)
+}
 
-// VersionCounts returns the number of a service's available endpoints by version.
-func (t *Tracker) VersionCounts(service string) map[string]int {
+// AvailableVersionCounts returns the number of a service's endpoints that may get work, by version.
+func (t *Tracker) AvailableVersionCounts(service string) map[string]int {
 	return t.countVersions(t.available)[service]
 }
 
