Divide cold bounds apart from limits, among members named for it

Cause: divideLimits also divided what cold endpoints accept, and the members for that were called known, which says nothing of the grace that sets them apart. Run: go build of all packages, go vet and go test of tracker and runner.

--- a/internal/runner/cold.go
+++ b/internal/runner/cold.go
@@ -78,7 +78,7 @@
 	settings := r.settings.Load()
 	division := coldDivision{
 		bound:   apportioner.ColdBound{Factor: settings.ColdFactor, Margin: settings.ColdMargin},
-		members: r.peers.known(),
+		members: r.peers.coldSharers(),
 	}
 	if division.equal(r.coldDivision) {
 		return
--- a/internal/runner/limits.go
+++ b/internal/runner/limits.go
@@ -44,10 +44,9 @@
 	}, observedAt)
 }
 
-// divideLimits sets this daemon's shares of the endpoints' limits and of what cold endpoints
-// accept, if the members have changed. Only sweep calls it.
+// divideLimits sets this daemon's shares of the endpoints' limits if the members have
+// changed. Only sweep calls it.
 func (r *Runner) divideLimits() {
-	r.divideCold()
 	members := r.peers.expected()
 	if slices.Equal(members, r.sharers) {
 		return
--- a/internal/runner/peers.go
+++ b/internal/runner/peers.go
@@ -39,9 +39,9 @@
 	serving []gossiper.Member
 	// expected are the names of the members that may be sending requests.
 	expected []string
-	// known are the names of the members that may be sending requests although they have
-	// been dead for long.
-	known []string
+	// coldSharers are the names of the members among which the bounds of cold endpoints are
+	// divided: as expected, but members that are dead stay for coldGrace.
+	coldSharers []string
 	// otherZone is set if there is a member in another zone, whatever its status.
 	otherZone bool
 }
@@ -56,7 +56,7 @@
 			snapshot.expected = append(snapshot.expected, member.Name)
 		}
 		if member.Expected(now, coldGrace) {
-			snapshot.known = append(snapshot.known, member.Name)
+			snapshot.coldSharers = append(snapshot.coldSharers, member.Name)
 		}
 		if member.Serving() {
 			snapshot.serving = append(snapshot.serving, member)
@@ -167,9 +167,9 @@
 // this daemon.
 func (p *peers) expected() []string { return p.members.Snapshot().expected }
 
-// known returns the sorted names of the members that may be sending requests, including those
-// that have been dead for long and this daemon.
-func (p *peers) known() []string { return p.members.Snapshot().known }
+// coldSharers returns the sorted names of the members among which the bounds of cold endpoints
+// are divided, including this daemon.
+func (p *peers) coldSharers() []string { return p.members.Snapshot().coldSharers }
 
 // knowsOtherZone reports whether a member of another zone is known.
 func (p *peers) knowsOtherZone() bool { return p.members.Snapshot().otherZone }
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -366,6 +366,7 @@
 			r.exchanger.Sweep()
 			r.rollouts.sweepSessions()
 			r.peers.sweep()
+			r.divideCold()
 			r.divideLimits()
 			r.checkEvacuations()
 			r.quarantine.Sweep(time.Now())
