Name the order of waiting requests so that it is not taken for a rank

Cause: rank meant the order of urgency in matcher and in the log, but a virtual time in the admission queue. Some comments there needed the code to be read. Change: Ticket.orderTime, meetsTimes and overtakingRate; comments give the reason for the order of refunds and for unknown durations. Run: go build of all packages, go vet and go test of admitter.

--- a/internal/admitter/admitter.go
+++ b/internal/admitter/admitter.go
@@ -27,9 +27,8 @@
 	MaxParallel int
 	// Deadline is when the response must be complete.
 	Deadline time.Time
-	// StartBy is when the request should start at the latest, or zero for no bound. It decides
-	// only at the arrival, and only if others are ahead: what has waited, or is the next to
-	// start, may start later.
+	// StartBy is when the request should start at the latest, or zero for no bound. It is a reason
+	// for a refusal only at the arrival, and only if others are ahead in the queue.
 	StartBy time.Time
 	// Kind groups requests that run for about the same time, such as those of a route.
 	Kind string
@@ -54,9 +53,9 @@
 	// virtualStart and virtualFinish are the virtual times of weighted fair queueing.
 	virtualStart  float64
 	virtualFinish float64
-	// rank orders the requests of one priority. It is the virtual finish time of a request of
-	// average work, so that a large request delays the next ones of its account and not itself.
-	rank float64
+	// orderTime orders the requests of one priority. It is the virtual finish time of a request
+	// of average work, so that a large request delays the next ones of its account and not itself.
+	orderTime float64
 	// accepted is set once the request has been let into the queue.
 	accepted bool
 	// result receives nil when the request may run, or the reason for refusal.
@@ -143,7 +142,7 @@
 	}
 	ticket.virtualStart = max(q.virtualTime, q.lastFinish[ticket.Account])
 	ticket.virtualFinish = ticket.virtualStart + q.relativeWork(ticket.Work)/ticket.weight()
-	ticket.rank = ticket.virtualStart + 1/ticket.weight()
+	ticket.orderTime = ticket.virtualStart + 1/ticket.weight()
 	q.lastFinish[ticket.Account] = ticket.virtualFinish
 	q.priorities.arrive(ticket.Priority)
 	q.kinds.arrive(ticket.Kind)
@@ -189,7 +188,8 @@
 	return q.Update(now)
 }
 
-// Update returns the tickets to refuse and those to start at a time.
+// Update decides again about the requests that wait, at a time. It returns the tickets to refuse
+// and those to start.
 func (q *Queue) Update(now time.Time) (refused []Refusal, started []*Ticket) {
 	started = q.startDue()
 	refused = q.shed(now)
@@ -248,7 +248,7 @@
 	return count
 }
 
-// insert adds a ticket at its position: by priority, the highest first, then by rank.
+// insert adds a ticket at its position: by priority, the highest first, then by orderTime.
 func (q *Queue) insert(ticket *Ticket) {
 	position := len(q.waiting)
 	for position > 0 && before(ticket, q.waiting[position-1]) {
@@ -261,7 +261,7 @@
 	if a.Priority != b.Priority {
 		return a.Priority > b.Priority
 	}
-	return a.rank < b.rank
+	return a.orderTime < b.orderTime
 }
 
 // shed removes and returns the requests that are predicted to complete after
@@ -279,7 +279,7 @@
 	for _, ticket := range q.waiting {
 		position = position.next(ticket.Priority)
 		wait := q.predictWait(position)
-		if q.meets(ticket, position, wait, now) {
+		if q.meetsTimes(ticket, position, wait, now) {
 			remaining = append(remaining, ticket)
 			position.ahead++
 			position.aheadOfPriority++
@@ -289,15 +289,16 @@
 	}
 	clear(q.waiting[len(remaining):])
 	q.waiting = remaining
+	// An account gets back its newest request first, since each began where the one before ended.
 	for _, refusal := range slices.Backward(refused) {
 		q.refund(refusal.Ticket)
 	}
 	return refused
 }
 
-// meets reports whether a request that waits for a time at its place is predicted to complete before its
-// deadline and, if it has just arrived, to start in time.
-func (q *Queue) meets(ticket *Ticket, at place, wait time.Duration, now time.Time) bool {
+// meetsTimes reports whether a request that waits for a time at its place is predicted to complete
+// before its deadline and, if it has just arrived, to start in time.
+func (q *Queue) meetsTimes(ticket *Ticket, at place, wait time.Duration, now time.Time) bool {
 	if q.options.RefuseOnlyWaiting && wait == 0 {
 		return true
 	}
@@ -333,9 +334,9 @@
 	return time.Duration(waitSafetyFactor * starts / float64(q.capacity) * float64(q.durations.mean))
 }
 
-// startDue starts the requests of priorities and kinds that have got less than their least share, whether
-// or not there is free capacity, and returns them. They are few, since their number is a share
-// of that of all requests.
+// startDue starts the requests of priorities and kinds that have got less than their least share,
+// whether or not there is free capacity, and returns them. They are few, since their number is a
+// share of that of all requests.
 func (q *Queue) startDue() []*Ticket {
 	var started []*Ticket
 	for ticket := q.due(); ticket != nil; ticket = q.due() {
--- a/internal/admitter/duration.go
+++ b/internal/admitter/duration.go
@@ -55,8 +55,8 @@
 	return mean + time.Duration(weight*float64(latest-mean))
 }
 
-// of returns how long a request of a kind runs. Of a kind that is not known, this is the least
-// that may be said: the mean of all before any request has completed, and otherwise nothing.
+// of returns how long a request of a kind runs. For a kind of which none has completed, it is 0, so
+// that no request is refused for it, or initialDuration before any request has completed.
 func (d *durations) of(kind string) time.Duration {
 	if ofKind := d.byKind[kind]; ofKind != nil {
 		return ofKind.mean
--- a/internal/admitter/share.go
+++ b/internal/admitter/share.go
@@ -74,24 +74,24 @@
 	return count.started < s.minRatio*s.total.started/s.total.arrived*count.arrived
 }
 
-// startsUntil returns after how many starts of any request one of a priority is expected to start
-// that has a number of others ahead of it, some of them of its own priority. More urgent ones
-// that arrive in the meantime overtake it, up to its least share.
+// startsUntil returns the number of starts, of any requests, after which a request is expected to
+// start. It has a priority and a number of requests ahead of it, aheadOfPriority of them of its own
+// priority. More urgent ones that arrive in the meantime overtake it, up to its least share.
 func startsUntil(s *shares[int], priority int, ahead float64, aheadOfPriority int) float64 {
 	count := s.byClass[priority]
 	if count == nil {
 		return ahead + 1
 	}
 	expected := math.Inf(1)
-	if overtaking := overtaking(s, priority); overtaking < 1 {
-		expected = (ahead + 1) / (1 - overtaking)
+	if rate := overtakingRate(s, priority); rate < 1 {
+		expected = (ahead + 1) / (1 - rate)
 	}
 	leastShare := s.minRatio * count.arrived / s.total.arrived
 	return min(expected, float64(aheadOfPriority+1)/leastShare)
 }
 
-// overtaking returns the number of more urgent requests that arrive for each request started.
-func overtaking(s *shares[int], priority int) float64 {
+// overtakingRate returns the number of more urgent requests that arrive for each request started.
+func overtakingRate(s *shares[int], priority int) float64 {
 	arrived := 0.
 	for other, count := range s.byClass {
 		if other > priority {
