Name the bounds on slow clients, and explain watches and priorities

Cause: slowWrites and stalledWrite are times, slow and bound set a deadline, and comments on priorities, channels and the watch did not say what is meant. Change: slowClientTime, stalledWriteTime, handleSlowWrite, setWriteDeadline; comments with the reason. No change of behaviour.

--- a/internal/exchanger/exchanger.go
+++ b/internal/exchanger/exchanger.go
@@ -64,7 +64,8 @@
 	// connection is open, which may take a while, and before the first byte is written. A
 	// nil function permits all.
 	Permitted func() bool
-	// Connected is called after that and before the first byte is written, unless it is nil.
+	// Connected is called, unless it is nil, when the connection is open and the request is
+	// permitted, before the first byte is written.
 	Connected func()
 }
 
--- a/internal/forwarder/admission.go
+++ b/internal/forwarder/admission.go
@@ -23,7 +23,7 @@
 	// unlimited is the capacity of a pool without a limit.
 	unlimited = math.MaxInt32
 	// minServiceRatio is the least share of the requests of each priority and route that is
-	// started, in relation to that of all requests. With less they count as starved.
+	// started, in relation to that of all requests, so that none is starved.
 	minServiceRatio = 1. / 3
 	// maxWaitShare is the share of its target latency that a request may wait at the daemon. The
 	// rest is for the endpoint, where it waits too. More would make all responses late.
@@ -51,7 +51,7 @@
 // while there is too little room (docs/design/ADMISSION.md). It is safe for concurrent use.
 type admission struct {
 	tracker *tracker.Tracker
-	// stopping reports whether the daemon stops.
+	// stopping reports whether the daemon is about to stop.
 	stopping func() bool
 	logger   hclog.Logger
 	mu       sync.Mutex
@@ -222,7 +222,7 @@
 	if problem != nil {
 		return problem
 	}
-	// Of a request that no endpoint executed, the time says nothing about their load.
+	// How long a request took that no endpoint executed says nothing about their load.
 	defer func() { end(c.possibleRuns > 0) }()
 	return c.run(ctx)
 }
--- a/internal/forwarder/ahead.go
+++ b/internal/forwarder/ahead.go
@@ -28,7 +28,8 @@
 	response *exchanger.Response
 	// checkEnd returns an error if the response, which has been read to its end, was broken off.
 	checkEnd func() error
-	// onEnd is called when nothing more is read, maybe in the other goroutine. endedAt is when.
+	// onEnd is called when the last read of the response has ended, possibly in another
+	// goroutine. endedAt is when that was.
 	onEnd   func()
 	endedAt time.Time
 
@@ -41,6 +42,7 @@
 	// arrived and taken have an item when something was added to the queue, or taken from it.
 	arrived chan struct{}
 	taken   chan struct{}
+	// stopped is closed when the goroutine must end, ended when it has.
 	stopped chan struct{}
 	ended   chan struct{}
 }
--- a/internal/forwarder/client.go
+++ b/internal/forwarder/client.go
@@ -9,12 +9,13 @@
 )
 
 const (
-	// slowWrites is how long the writes of a response may take together before the client counts
-	// as slow. An endpoint waits longer than that before it cuts off a response that is not read.
-	slowWrites = 250 * time.Millisecond
-	// stalledWrite is how long after the deadline a single write may take. The operating system
-	// may accept nothing for a while although the client reads slowly.
-	stalledWrite = 30 * time.Second
+	// slowClientTime is how long the writes of a response may take together before the client
+	// counts as slow. An endpoint waits longer than that before it cuts off a response that is
+	// not read.
+	slowClientTime = 250 * time.Millisecond
+	// stalledWriteTime is how long after the deadline a single write may take. The operating
+	// system may accept nothing for a while although the client reads slowly.
+	stalledWriteTime = 30 * time.Second
 	// maxWriteBytes bounds a single write, so that a slow client is not taken for a stalled one.
 	maxWriteBytes = 4 << 10
 )
@@ -69,23 +70,23 @@
 	return err
 }
 
-// begin begins a write.
+// begin begins a write. The writes to a client that counts as slow get a deadline at once.
 func (w *clientWriter) begin() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.begun = time.Now()
-	left := slowWrites - w.spent
+	left := slowClientTime - w.spent
 	switch {
 	case left <= 0:
-		w.bound()
+		w.setWriteDeadline()
 	case w.timer == nil:
-		w.timer = time.AfterFunc(left, w.slow)
+		w.timer = time.AfterFunc(left, w.handleSlowWrite)
 	default:
 		w.timer.Reset(left)
 	}
 }
 
-// end ends a write.
+// end ends a write and lifts its deadline, so that it does not hold for the next one.
 func (w *clientWriter) end() error {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -102,24 +103,24 @@
 	return nil
 }
 
-// slow handles a write in progress that makes the client count as slow.
-func (w *clientWriter) slow() {
+// handleSlowWrite handles a write in progress that makes the client count as slow.
+func (w *clientWriter) handleSlowWrite() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if !w.begun.IsZero() {
-		w.bound()
+		w.setWriteDeadline()
 	}
 }
 
-// bound bounds the write in progress to a slow client.
-func (w *clientWriter) bound() {
+// setWriteDeadline bounds the write in progress to a slow client. The lock is held.
+func (w *clientWriter) setWriteDeadline() {
 	now := time.Now()
 	end := w.deadline
 	if end.Before(now) {
 		end = now
 	}
 	// Without the bound, the write ends when the client disconnects.
-	w.bounded = w.controller.SetWriteDeadline(end.Add(stalledWrite)) == nil
+	w.bounded = w.controller.SetWriteDeadline(end.Add(stalledWriteTime)) == nil
 	if w.onSlow != nil {
 		w.onSlow()
 	}
--- a/internal/forwarder/size.go
+++ b/internal/forwarder/size.go
@@ -100,9 +100,9 @@
 func (c *call) rank() int { return matcher.Rank(c.route, c.account) }
 
 // enginePriority returns the request's priority at the endpoint, or a negative value for none.
-// First steps of a cascade come before all others. Among these, the priority of the client
-// account orders requests before that of the route. A model that the client has chosen counts
-// as a later step.
+// First steps of a cascade come before all other requests, in the order of the client accounts'
+// priorities. The others, also those whose model the client has chosen, are in the order of their
+// ranks.
 func (c *call) enginePriority() int {
 	if len(c.route.Models) == 0 {
 		return -1
--- a/internal/forwarder/wait.go
+++ b/internal/forwarder/wait.go
@@ -50,8 +50,8 @@
 	return r.timings[key], r.loads[route.Service]
 }
 
-// attemptWatch takes an attempt back when the request has waited too long at the endpoint. Nil is a watch
-// that never does. Its timer runs next to the attempt.
+// attemptWatch takes an attempt back when the request has waited too long at the endpoint. Nil is a
+// watch that never does. Its timer decides in another goroutine than that of the attempt.
 type attemptWatch struct {
 	call   *call
 	query  tracker.Query
@@ -67,7 +67,7 @@
 	// timer is nil until there is a connection.
 	timer *time.Timer
 	end   context.CancelCauseFunc
-	// wait holds what the decision is made on. Some of it is set when it is made.
+	// wait holds what the decision depends on. updateWait sets what changes during the wait.
 	wait supervisor.Wait
 	// waitingSince is when the wait began. forwardedAt is when the client got the last event.
 	waitingSince time.Time
@@ -108,8 +108,8 @@
 	return ctx, w
 }
 
-// connected begins the wait. The time to open a connection has a bound of its own, after which the host
-// is known to be unreachable.
+// connected begins the wait. The time to open a connection has a bound of its own, after which the
+// host is known to be unreachable.
 func (w *attemptWatch) connected() {
 	if w == nil {
 		return
@@ -154,8 +154,8 @@
 	}
 }
 
-// updateWait updates what changes during the wait. Recent responses tell more of the wait at another
-// endpoint than the estimate if all of them were late.
+// updateWait updates what changes during the wait. The alternative is at least the queue delay of
+// recent responses: if all of them were late, another endpoint is hardly sooner.
 func (w *attemptWatch) updateWait(now time.Time) {
 	ttft, queueDelay := w.call.Tracker.EstimateTTFT(w.query)
 	w.wait.Alternative = max(ttft, queueDelay)
