Explain the factors and deviations of the supervisor

Cause: the comments on alternativeFactor, GapDeviation and Patience needed the code to be read, and one constant stood between two functions. Change: comments; minRecheck stands with the other constants.

--- a/internal/supervisor/supervisor.go
+++ b/internal/supervisor/supervisor.go
@@ -5,15 +5,17 @@
 import "time"
 
 const (
-	// targetShare is the share of the target that a wait may exceed what is expected by: the
-	// other endpoint then still has time to meet the target.
+	// targetShare is the share of the target by which a wait may exceed what is expected, so that
+	// another endpoint still has time to meet the target.
 	targetShare = 0.5
 	// maxDeviations is the number of usual deviations from the expected wait that count as
 	// usual too.
 	maxDeviations = 4
-	// alternativeFactor is how many times sooner than the wait is late the response must be
-	// expected elsewhere: the longer a wait is late, the longer it is likely to go on.
+	// alternativeFactor is how many times the expected wait elsewhere the time beyond the expected
+	// wait must be: the longer a wait is late, the longer it is likely to go on.
 	alternativeFactor = 2
+	// minRecheck bounds how often a wait whose target is short is decided again.
+	minRecheck = 100 * time.Millisecond
 )
 
 // Wait describes how a request waits at its endpoint, for the beginning of the response or for
@@ -47,15 +49,15 @@
 	Recheck time.Duration
 }
 
-// Patience returns how long the request waits in any case. It does not use the alternative, the
-// time that is left and what follows them.
+// Patience returns how long the request waits in any case. It depends on Expected, Deviation and
+// Target alone.
 func Patience(wait Wait) time.Duration {
 	slack := time.Duration(targetShare * float64(wait.Target))
 	return wait.Expected + max(slack, wait.Expected, maxDeviations*wait.Deviation)
 }
 
-// GapDeviation returns the deviation of the pauses of a stream with which the pauses that its target
-// allows are always waited for.
+// GapDeviation returns the deviation to assume for the pauses of a stream, so that Patience covers
+// a pause of the target event gap beyond what is expected.
 func GapDeviation(target time.Duration) time.Duration { return target / maxDeviations }
 
 // Decide decides whether the request is sent to another endpoint now.
@@ -76,9 +78,6 @@
 	return Decision{Move: true}
 }
 
-// minRecheck bounds the work for a wait whose target is short.
-const minRecheck = 100 * time.Millisecond
-
 const (
 	// minClientPatience, clientTargets and clientGaps say when clients give up a stream: after
 	// a pause of the longest of this time and these multiples of the route's targets.
