Explain shares of cold endpoints and the end of a limit

Cause: the number of units of a small fleet, the bucket that is emptied as of an earlier time and the calm of a pool had no reason or another one than the code. Change: comments only, without figures of speech. Run: go build, go vet of internal, go test of apportioner, tracker, throttler.

--- a/internal/apportioner/apportioner.go
+++ b/internal/apportioner/apportioner.go
@@ -1,5 +1,5 @@
-// Package apportioner divides the request rate that an endpoint accepts, by its own words or
-// because it is cold, among the daemons.
+// Package apportioner divides the request rate that an endpoint accepts, because of a limit that it
+// names or because it is cold, among the daemons.
 // Each daemon computes its own part, so that none has to be asked: the daemons that may send
 // to an endpoint come first in an order that is the same everywhere, and few of them change
 // when a daemon starts or stops.
--- a/internal/apportioner/cold.go
+++ b/internal/apportioner/cold.go
@@ -38,6 +38,7 @@
 	if !isMember || place >= units {
 		return 0
 	}
+	// In a small fleet there are more units than members: all get further ones in the same order.
 	own := 1 + (units-1-place)/max(len(members), minColdMembers)
 	return float64(own) * min(1/unitInterval.Seconds(), perSecond/float64(units))
 }
--- a/internal/throttler/throttler.go
+++ b/internal/throttler/throttler.go
@@ -30,8 +30,7 @@
 	// that hangs reports no load and is no room either.
 	minKnownShare = 0.9
 	// busyLoad is the load of the least loaded endpoint from which requests wait at all of
-	// them. Up to it, an endpoint's own queue is short enough to keep its slots in use and no
-	// more.
+	// them. Below it, an endpoint's queue is only long enough to keep its slots in use.
 	busyLoad = 1.5
 	// fullLoad is the load from which endpoints may turn requests away, also the most urgent
 	// ones.
@@ -94,8 +93,8 @@
 	fullFactor = 0.7
 	// growFactor is the increase of the limit after a growInterval of room.
 	growFactor = 1.25
-	// calmTime is how long there must be no overload and no request that waits at the daemon
-	// for the limit to end.
+	// calmTime is how long the pool must not be busy, and no request wait at the daemon, for the
+	// limit to end.
 	calmTime = time.Second
 )
 
@@ -105,8 +104,9 @@
 // not safe for concurrent use.
 type Window struct {
 	limit float64
-	// overloadedSince is when the overload began that has not led to a limit yet, calmSince when
-	// the state began that ends the limit. Both are zero if there is no such state.
+	// overloadedSince is when an overload began that has not led to a limit yet. calmSince is when
+	// the time began in which the pool is not busy and no request waits at the daemon. Each is
+	// zero if there is no such time now.
 	overloadedSince time.Time
 	calmSince       time.Time
 	// changedAt is when the limit was last changed.
@@ -186,7 +186,8 @@
 	w.changedAt = now
 }
 
-// isCalm reports whether the limit can end.
+// isCalm reports whether, for calmTime, the pool has not been busy and no request has waited at the
+// daemon.
 func (w *Window) isCalm(sample Sample, now time.Time) bool {
 	if sample.busy() || sample.Waiting > 0 {
 		w.calmSince = time.Time{}
--- a/internal/tracker/cold.go
+++ b/internal/tracker/cold.go
@@ -10,7 +10,7 @@
 )
 
 const (
-	// MaxColdTime bounds how long an endpoint stays cold by its own words, so that a wrong
+	// MaxColdTime bounds how long an endpoint stays cold by what it reports, so that a wrong
 	// number does not hold it back for good.
 	MaxColdTime = 10 * time.Minute
 	// coldTolerance is by how much a response must exceed the known cold time for the other
@@ -67,8 +67,8 @@
 	return b
 }
 
-// allows reports whether this daemon may send a request now. A share that is gone leaves no
-// right to a last request.
+// allows reports whether this daemon may send a request now. A token that is left from a share
+// which has become 0 does not count.
 func (s *coldState) allows(now time.Time) bool {
 	return s.limiter.Limit() > 0 && s.limiter.TokensAt(now) >= 1
 }
@@ -257,6 +257,7 @@
 	}
 	state.boundSince = now
 	state.limiter = rate.NewLimiter(share, burst)
+	// An empty bucket as of an earlier time gets its first token after a part of the interval.
 	state.limiter.AllowN(now.Add(-t.firstDelay(share)), burst)
 	t.logger.Info("endpoint is cold", "endpoint", id, "remaining", noter.FormatDuration(state.until().Sub(now)), "rate", service.PerSecond, "share", float64(share))
 }
