Say in plain terms what events, zones and unknown loads mean

Cause: some comments could be read two ways or gave no reason, and the factor for another zone did not say that it replaces the penalty, which was exported although no other package uses it. Change: comments; crossZonePenalty is not exported. Run: go build and go vet of all packages, go test of the six packages.

--- a/internal/forwarder/wait.go
+++ b/internal/forwarder/wait.go
@@ -204,8 +204,8 @@
 	w.timer.Reset(supervisor.Patience(w.wait))
 }
 
-// eventsArrived records that events have arrived, of which there are now count. The stream is not
-// waited for until they are forwarded. Resumable says whether it can be resumed after them.
+// eventsArrived records that events have arrived; count is the number of all events so far. The wait
+// is paused until they are forwarded. A stream that is not resumable after them is no longer watched.
 func (w *attemptWatch) eventsArrived(count int, resumable bool) {
 	if w == nil {
 		return
--- a/internal/picker/picker.go
+++ b/internal/picker/picker.go
@@ -52,9 +52,9 @@
 	crossZoneShare = 0.02
 )
 
-// CrossZonePenalty returns the time by which an endpoint of another zone must be faster to be
+// crossZonePenalty returns the time by which an endpoint of another zone must be faster to be
 // preferred for a request with a target latency, or with none if it is 0.
-func CrossZonePenalty(target time.Duration) time.Duration {
+func crossZonePenalty(target time.Duration) time.Duration {
 	return max(minCrossZonePenalty, time.Duration(crossZoneShare*float64(target)))
 }
 
@@ -66,7 +66,7 @@
 		total = time.Duration(float64(total) * e.Slowness)
 	}
 	if e.Zone != request.Zone {
-		total += CrossZonePenalty(request.TargetLatency)
+		total += crossZonePenalty(request.TargetLatency)
 	}
 	return total
 }
@@ -311,8 +311,8 @@
 	// endpoints, they would send their requests to the same one between two load reports.
 	localSample  = 4
 	remoteSample = 2
-	// crossZoneFactor is the factor by which an endpoint of another zone must be faster,
-	// because forecasts differ by more than a little from what comes.
+	// crossZoneFactor is the factor by which an endpoint of another zone must be faster. It
+	// takes the place of crossZonePenalty, since the error of a forecast grows with the time.
 	crossZoneFactor = 1.1
 )
 
--- a/internal/runner/evacuations.go
+++ b/internal/runner/evacuations.go
@@ -8,7 +8,7 @@
 
 // evacuationChange is what a change of the operators' topic says about evacuations.
 type evacuationChange struct {
-	// complete is set if every zone that is not in records has returned.
+	// complete is set if records hold all evacuations, so that any other one is withdrawn.
 	complete bool
 	records  []evacuationRecord
 	// next is the offset up to which the change reaches.
--- a/internal/runner/progress.go
+++ b/internal/runner/progress.go
@@ -101,7 +101,8 @@
 func (m *rolloutManager) progressWrite(rollout *rolloutState, now time.Duration) func(context.Context) error {
 	newEndpoints, oldEndpoints := countByTarget(m.tracker.AvailableVersionCounts(rollout.order.Service), rollout.order.Target)
 	if rollout.initialOldEndpoints == 0 {
-		// An evacuated zone may come back during the rollout.
+		// The endpoints of an evacuated zone count, since its evacuation may be withdrawn
+		// during the rollout.
 		_, rollout.initialOldEndpoints = countByTarget(m.tracker.InServiceVersionCounts()[rollout.order.Service], rollout.order.Target)
 	}
 	if _, verified := m.statusTopic.VerifiedAge(); !verified {
--- a/internal/supervisor/timing.go
+++ b/internal/supervisor/timing.go
@@ -30,7 +30,8 @@
 	return &Timing{deviation: time.Duration(firstDeviationShare * float64(target))}
 }
 
-// RecordStart records after what time a response began, or that it had not begun by then.
+// RecordStart records the time to the beginning of a response. For a request that was taken back, it
+// is the time until then, which is less than the response would have taken.
 func (t *Timing) RecordStart(elapsed time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/internal/throttler/throttler.go
+++ b/internal/throttler/throttler.go
@@ -100,7 +100,7 @@
 
 // Window is the limit of one pool. It begins with the number of requests that the daemon has at
 // the endpoints, falls by a share while they are overloaded, rises by one while they are not, and
-// by a share while one has room. So daemons that see the same load come to equal limits. It is
+// by a share while one has room. So the limits of daemons that see the same load become equal. It is
 // not safe for concurrent use.
 type Window struct {
 	limit float64
--- a/internal/tracker/cold.go
+++ b/internal/tracker/cold.go
@@ -57,7 +57,7 @@
 // until returns the end of the cold time.
 func (s *coldState) until() time.Time { return latest(s.knownUntil(), s.suspectedUntil) }
 
-// knownUntil returns the end of the cold time as far as all daemons know or will know of it.
+// knownUntil returns the end of the cold time by what all daemons have read or will be told.
 func (s *coldState) knownUntil() time.Time { return latest(s.registeredUntil, s.reportedUntil) }
 
 func latest(a, b time.Time) time.Time {
--- a/internal/tracker/evacuation.go
+++ b/internal/tracker/evacuation.go
@@ -2,8 +2,8 @@
 
 import "maps"
 
-// SetEvacuated sets the availability zones whose endpoints get no requests, in place of the
-// zones before. What runs there may end.
+// SetEvacuated replaces the set of availability zones whose endpoints get no new requests. Requests
+// that run there are not ended.
 func (t *Tracker) SetEvacuated(zones map[string]bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/internal/tracker/room.go
+++ b/internal/tracker/room.go
@@ -22,9 +22,9 @@
 	return float64(r.KnownEndpoints) / float64(r.Endpoints)
 }
 
-// Room returns what this daemon knows of the load of the endpoints that may get the query. An
-// endpoint without a report of the last loadReportTTL counts as unknown, because its load may
-// have gone since.
+// Room returns what this daemon knows of the load of the endpoints that may get the query. A
+// load that was reported more than loadReportTTL ago counts as unknown, because the requests may have
+// ended since.
 func (t *Tracker) Room(query Query) Room {
 	t.mu.Lock()
 	defer t.mu.Unlock()
