Wait for room at the endpoints of the model that runs, and keep a head that came

Cause: the read-through found that awaitRoom chose the pool before the size was set, so that a request that may run only once waited for, and counted at, the endpoints of the smallest model although it begins on the largest. It and the review of the take-back found that a request could be taken back between the arrival of a response's head and its handling: the endpoint then counted as failed, and the retry was paid twice.

Change: the size is set before the wait; the arrival of a head ends the wait, or the attempt counts as taken back.

Figures: TestPoolOfTheModelThatRuns got "small", want "large"; without the mend TestTakeBackAndHeadAtOnce ends with a panic in check. Both pass, with -race too.

--- a/internal/forwarder/admission.go
+++ b/internal/forwarder/admission.go
@@ -11,6 +11,7 @@
 	"quetzalgrade.example/quetzalgrade/internal/admitter"
 	"quetzalgrade.example/quetzalgrade/internal/classifier"
 	"quetzalgrade.example/quetzalgrade/internal/noter"
+	"quetzalgrade.example/quetzalgrade/internal/sizer"
 	"quetzalgrade.example/quetzalgrade/internal/throttler"
 	"quetzalgrade.example/quetzalgrade/internal/tracker"
 )
@@ -218,6 +219,7 @@
 
 // runAdmitted runs the request once it may be sent to an endpoint, unless it is refused before.
 func (c *call) runAdmitted(ctx context.Context) *classifier.Error {
+	c.size = sizer.FirstSize(c.costs(), !c.route.Retryable())
 	end, problem := c.awaitRoom(ctx)
 	if problem != nil {
 		return problem
--- a/internal/forwarder/admission_test.go
+++ b/internal/forwarder/admission_test.go
@@ -8,9 +8,11 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/hashicorp/go-hclog"
 
 	"quetzalgrade.example/quetzalgrade/internal/admitter"
+	"quetzalgrade.example/quetzalgrade/internal/matcher"
 	"quetzalgrade.example/quetzalgrade/internal/tracker"
 )
 
@@ -91,3 +93,37 @@
 		reportLoad(p, idleLoad, 2*time.Second)
 	})
 }
+
+// TestPoolOfTheModelThatRuns guards against a request that may run only once and begins on the
+// largest model, but waits for room at the endpoints of the smallest.
+func TestPoolOfTheModelThatRuns(t *testing.T) {
+	route := matcher.Route{Name: "report", Kind: matcher.Stream, Service: "engine", TargetLatency: time.Second, Models: []string{"small", "large"}}
+	rows := map[string]struct {
+		resumable bool
+		want      string
+	}{
+		"may run again": {true, "small"},
+		"runs once":     {false, "large"},
+	}
+	for name, row := range rows {
+		t.Run(name, func(t *testing.T) {
+			route := route
+			route.Resumable = row.resumable
+			tr := tracker.New("a", rand.New(rand.NewPCG(1, 2)), time.Now, hclog.NewNullLogger())
+			f := New(Dependencies{ControlPlane: &versionRecorder{}, Tracker: tr, RetryBudgets: NewRetryBudgets(1, 1), Counters: NewCounters(metrics.NewSet()), Logger: hclog.NewNullLogger()})
+			table := matcher.NewTable(matcher.Declaration{
+				Routes:   []matcher.Route{route},
+				Services: []matcher.Service{{Name: "engine", Costs: map[string]float64{"small": 1, "large": 10}}},
+			})
+			c := &call{Forwarder: f, Request: Request{AnyModel: true}, view: View{Table: table}, route: &route, arrived: time.Now(), deadline: time.Now().Add(time.Minute)}
+			if problem := c.runAdmitted(t.Context()); problem == nil {
+				t.Fatal("runAdmitted() without endpoints got no error")
+			}
+			for key := range f.admission.pools {
+				if key.model != row.want {
+					t.Errorf("model of the pool got %q, want %q", key.model, row.want)
+				}
+			}
+		})
+	}
+}
--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -13,7 +13,6 @@
 	"quetzalgrade.example/quetzalgrade/internal/exchanger"
 	"quetzalgrade.example/quetzalgrade/internal/matcher"
 	"quetzalgrade.example/quetzalgrade/internal/noter"
-	"quetzalgrade.example/quetzalgrade/internal/sizer"
 	"quetzalgrade.example/quetzalgrade/internal/tracker"
 )
 
@@ -55,7 +54,6 @@
 	budget := c.RetryBudgets.ForService(c.route.Service)
 	budget.RecordRequest()
 	c.lastEventID = c.LastEventID
-	c.size = sizer.FirstSize(c.costs(), !c.route.Retryable())
 	var buffered *bufferedResponse
 	last := classifier.New(classifier.NoEndpoint, "no endpoint of service %q accepts requests", c.route.Service)
 	for attempts := 0; attempts < maxAttempts; attempts++ {
@@ -206,6 +204,9 @@
 		return c.handleFailure(ctx, choice, watch, failure)
 	}
 	defer response.Close()
+	if !watch.headArrived() {
+		return c.handleTakenBack(choice, watch, &exchanger.Failure{Stage: exchanger.Sent, Err: errTakenBack})
+	}
 	info := c.Codec.ParseResponse(response.Status, response.Header)
 	if response.Ambiguous {
 		return c.handleAmbiguous(choice, response, info)
--- a/internal/forwarder/session_test.go
+++ b/internal/forwarder/session_test.go
@@ -22,6 +22,8 @@
 
 func (r *versionRecorder) RecordResult(Result) {}
 
+func (r *versionRecorder) View() View { return View{} }
+
 // TestTakenBackRequestKeepsItsSession guards against sessions that are moved off a new version because
 // its endpoints have long queues, and against failures of a version that are met again there.
 func TestTakenBackRequestKeepsItsSession(t *testing.T) {
--- a/internal/forwarder/wait.go
+++ b/internal/forwarder/wait.go
@@ -180,6 +180,18 @@
 	return true
 }
 
+// headArrived pauses the wait, because the head of a response has arrived. It reports false if the
+// request has been taken back meanwhile, so that the connection is closed.
+func (w *attemptWatch) headArrived() bool {
+	if w == nil {
+		return true
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.paused = true
+	return !w.takeBack
+}
+
 // responseStarted records that the response has begun. A stream is then watched for its events.
 func (w *attemptWatch) responseStarted(ttft time.Duration) {
 	if w == nil {
@@ -193,6 +205,7 @@
 		w.load.RecordOnTime(now)
 	}
 	w.startedAt, w.waitingSince = now, now
+	w.paused = false
 	gap := w.call.route.TargetEventGap
 	if gap <= 0 || w.call.route.Kind != matcher.Stream {
 		w.stopped = true
--- a/internal/forwarder/wait_test.go
+++ b/internal/forwarder/wait_test.go
@@ -1,7 +1,10 @@
 package forwarder
 
 import (
+	"net/http"
+	"net/http/httptest"
 	"testing"
+	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 
@@ -36,3 +39,29 @@
 		t.Errorf("spend() after all retries got true, want false")
 	}
 }
+
+// TestTakeBackAndHeadAtOnce guards against a request that is taken back while the head of its
+// response is read: either the response is used, or the attempt counts as taken back and not as a
+// failure of the endpoint.
+func TestTakeBackAndHeadAtOnce(t *testing.T) {
+	rows := map[string]struct {
+		takenBackFirst bool
+		wantUsed       bool
+	}{
+		"head first": {false, true},
+		"taken back": {true, false},
+	}
+	for name, row := range rows {
+		t.Run(name, func(t *testing.T) {
+			w := &attemptWatch{takeBack: row.takenBackFirst, timer: time.NewTimer(time.Hour)}
+			if got := w.headArrived(); got != row.wantUsed {
+				t.Errorf("headArrived() got %t, want %t", got, row.wantUsed)
+			}
+			w.call = &call{http: httptest.NewRequest(http.MethodGet, "/", nil)}
+			w.check()
+			if got := w.takeBack; got != row.takenBackFirst {
+				t.Errorf("takeBack after the head got %t, want %t", got, row.takenBackFirst)
+			}
+		})
+	}
+}
