Forward a server error also while memory is short

Cause: with no memory for the longest response that is held, a server error of more than 4 KiB counted as truncated or corrupt, and the client lost the endpoint's own status and body (found by the read-through).

Change: its body is read on with memory reserved piece by piece.

--- a/internal/forwarder/whole.go
+++ b/internal/forwarder/whole.go
@@ -37,11 +37,15 @@
 	if err == nil {
 		err = checkResponse(response.Status, info)
 	}
+	deniesRun := classifier.DeniesRun(response.Status)
+	isError := response.Status >= http.StatusInternalServerError || deniesRun
+	if err == nil && isError && len(body) > limit && limit < maxBufferedBytes {
+		limit = maxBufferedBytes
+		body, err = c.readRest(response, body, limit)
+	}
 	if err == nil && len(body) <= limit {
 		err = response.CheckEnd(ctx)
 	}
-	deniesRun := classifier.DeniesRun(response.Status)
-	isError := response.Status >= http.StatusInternalServerError || deniesRun
 	if err == nil && len(body) > limit {
 		if !isError {
 			return c.forwardLong(ctx, choice, response, body)
@@ -95,6 +99,27 @@
 	return io.ReadAll(io.LimitReader(response, int64(limit)+1))
 }
 
+// readRest reads the body of a server error on, to its end or one byte more than the limit. Unlike
+// other bodies, it cannot be forwarded as it arrives, because another endpoint may still respond.
+// The memory is reserved piece by piece, since the whole limit was not to be had.
+func (c *call) readRest(response *exchanger.Response, body []byte, limit int) ([]byte, error) {
+	piece := make([]byte, streamBufferBytes)
+	for len(body) <= limit {
+		if !c.memory.Grow(c.held() + int64(len(body)+len(piece))) {
+			return body, errors.Errorf("no memory for more than %d bytes of a server error", len(body))
+		}
+		n, err := response.Read(piece[:min(len(piece), limit+1-len(body))])
+		body = append(body, piece[:n]...)
+		if errors.Is(err, io.EOF) {
+			break
+		}
+		if err != nil {
+			return body, err
+		}
+	}
+	return body, nil
+}
+
 // handleBadResponse records and logs a response that is truncated, corrupt or too
 // long.
 func (c *call) handleBadResponse(ctx context.Context, choice *tracker.Choice, response *exchanger.Response, err error) *classifier.Error {
