--- a/internal/commander/entry.go
+++ b/internal/commander/entry.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"io"
+	"math"
 	"net/http"
 	"os"
 	"os/signal"
 	"runtime/debug"
+	"strconv"
 	"syscall"
 	"time"
 
@@ -38,6 +40,12 @@
 			Name:  "memory",
 			Usage: "keep the process within `MEGABYTES` of memory",
 			Value: runner.DefaultMemory >> 20,
+		}, &cli.StringFlag{
+			Name:  "cold",
+			Usage: "send a cold endpoint at most `FACTOR` times its declared rate, in place of bounds.cold; empty: no change",
+		}, &cli.StringFlag{
+			Name:  "margin",
+			Usage: "and `REQUESTS` more in any second, in place of bounds.margin; empty: no change",
 		}},
 		Action: func(ctx context.Context, command *cli.Command) error {
 			memory, err := parseMemory(command.Float("memory"))
@@ -45,11 +53,67 @@
 				return err
 			}
 			debug.SetMemoryLimit(int64(heapShare * float64(memory)))
-			return runEntry(ctx, command.String("settings"), memory, command.Root().Writer)
+			bounds, err := parseColdBounds(command.String("cold"), command.String("margin"))
+			if err != nil {
+				return err
+			}
+			load := func() (runner.Settings, error) {
+				settings, err := runner.LoadSettings(command.String("settings"))
+				bounds.apply(&settings)
+				return settings, err
+			}
+			return runEntry(ctx, load, memory, command.Root().Writer)
 		},
 	}
 }
 
+// coldBounds are bounds of cold endpoints that replace those of the settings. They are nil if they
+// are not given: a platform without them leaves their flags empty, whereas a number that is missing
+// in a settings file would make it invalid.
+type coldBounds struct {
+	factor, margin *float64
+}
+
+// maxColdFactor bounds the factor, as in the settings.
+const maxColdFactor = 10
+
+// parseColdBounds parses the flags of the bounds. Either may be empty.
+func parseColdBounds(factor, margin string) (coldBounds, error) {
+	var bounds coldBounds
+	var err error
+	if bounds.factor, err = parseBound("cold", factor, maxColdFactor); err != nil {
+		return coldBounds{}, err
+	}
+	if bounds.margin, err = parseBound("margin", margin, math.MaxFloat64); err != nil {
+		return coldBounds{}, err
+	}
+	return bounds, nil
+}
+
+// parseBound parses a number from 0 to the highest that is allowed. It returns nil if the text is
+// empty.
+func parseBound(name, text string, highest float64) (*float64, error) {
+	if text == "" {
+		return nil, nil
+	}
+	value, err := strconv.ParseFloat(text, 64)
+	if err != nil || !(value >= 0 && value <= highest) {
+		return nil, usageErrorf("--%s %q is out of range: want a number from 0 to %v", name, text, highest)
+	}
+	return &value, nil
+}
+
+// apply replaces the bounds of the settings by those that are given. A factor of 0 counts as missing,
+// as in the settings.
+func (b coldBounds) apply(settings *runner.Settings) {
+	if b.factor != nil && *b.factor > 0 {
+		settings.ColdFactor = *b.factor
+	}
+	if b.margin != nil {
+		settings.ColdMargin = *b.margin
+	}
+}
+
 const (
 	// minMemory is the least memory that a daemon runs with, heapShare the share of the memory
 	// that the runtime keeps its heap within. The rest is for the program itself and for what
@@ -69,10 +133,10 @@
 	return int64(bytes), nil
 }
 
-// runEntry runs an entry daemon until ctx ends and reloads its settings on
-// SIGHUP.
-func runEntry(ctx context.Context, file string, memory int64, logs io.Writer) error {
-	settings, err := runner.LoadSettings(file)
+// runEntry runs an entry daemon with the settings that load returns until ctx ends, and loads them
+// again on SIGHUP.
+func runEntry(ctx context.Context, load func() (runner.Settings, error), memory int64, logs io.Writer) error {
+	settings, err := load()
 	if err != nil {
 		return err
 	}
@@ -103,7 +167,7 @@
 		LogOutput:     logs,
 		Memory:        memory,
 		ReloadSignal:  reload,
-		LoadSettings:  func() (runner.Settings, error) { return runner.LoadSettings(file) },
+		LoadSettings:  load,
 	})
 	if err != nil {
 		return err
