--- a/internal/commander/entry_test.go
+++ b/internal/commander/entry_test.go
@@ -1,8 +1,11 @@
 package commander
 
 import (
+	"strconv"
 	"testing"
 
+	"pgregory.net/rapid"
+
 	"quetzalgrade.example/quetzalgrade/internal/runner"
 )
 
@@ -44,3 +47,21 @@
 		})
 	}
 }
+
+// TestColdBoundsKeepFractions guards against a bound that is loosened or tightened because its
+// fraction is dropped.
+func TestColdBoundsKeepFractions(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		factor := rapid.Float64Range(0.5, 10).Draw(t, "cold factor")
+		margin := rapid.Float64Range(0, 1e6).Draw(t, "cold margin")
+		bounds, err := parseColdBounds(strconv.FormatFloat(factor, 'g', -1, 64), strconv.FormatFloat(margin, 'g', -1, 64))
+		if err != nil {
+			t.Fatalf("parseColdBounds() got error %v, want nil", err)
+		}
+		var settings runner.Settings
+		bounds.apply(&settings)
+		if settings.ColdFactor != factor || settings.ColdMargin != margin {
+			t.Errorf("apply() got %v and %v, want %v and %v", settings.ColdFactor, settings.ColdMargin, factor, margin)
+		}
+	})
+}
