Log whether a refusal's connection had carried the same id before

The line of a refusal names the endpoint only, so a refusal that may be the copy of an earlier one looks like any other.

Change: a connection remembers the ids that it has carried, and the line has the field repeated. No decision uses it yet, and the number of ids is not bounded until one does.

--- a/internal/exchanger/exchanger.go
+++ b/internal/exchanger/exchanger.go
@@ -51,6 +51,8 @@
 
 // Request is a request as it is written to the connection.
 type Request struct {
+	// ID identifies the request in its response.
+	ID     string
 	Method string
 	// Target is the raw path and query.
 	Target string
@@ -149,6 +151,8 @@
 	// shared is set once the connection has carried a response to another request than
 	// the one in progress, or an earlier request, whose response may come again.
 	shared bool
+	// carried holds the ids of the requests that the connection has carried.
+	carried carriedIDs
 }
 
 func newConn(netConn net.Conn) *conn {
@@ -167,6 +171,8 @@
 	// response proves nothing about the request.
 	Anonymous bool
 	Ambiguous bool
+	// Repeated is set if the connection had carried a request with the same id before.
+	Repeated bool
 
 	exchanger    *Exchanger
 	address      netip.AddrPort
@@ -195,6 +201,8 @@
 	if request.Connected != nil {
 		request.Connected()
 	}
+	repeated := connection.carried.contains(request.ID)
+	connection.carried.add(request.ID)
 	stopWatch := context.AfterFunc(ctx, func() { _ = connection.Close() })
 	written, err := connection.write(request)
 	if err != nil {
@@ -212,6 +220,7 @@
 		Header:       response.Header,
 		Anonymous:    match == Anonymous,
 		Ambiguous:    match == Anonymous && connection.shared,
+		Repeated:     repeated,
 		exchanger:    e,
 		address:      address,
 		conn:         connection,
--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -246,6 +246,7 @@
 		attempt.Account = c.account.Name
 	}
 	return &exchanger.Request{
+		ID:     c.ID,
 		Method: c.http.Method,
 		Target: c.http.RequestURI,
 		Host:   c.http.Host,
@@ -376,7 +377,7 @@
 	} else {
 		choice.ReportRefusal()
 	}
-	c.log("endpoint refused the request", c.endpointFields(choice, "status", response.Status, "anonymous", response.Anonymous, "running", info.Running, "waiting", info.Waiting)...)
+	c.log("endpoint refused the request", c.endpointFields(choice, "status", response.Status, "anonymous", response.Anonymous, "repeated", response.Repeated, "running", info.Running, "waiting", info.Waiting)...)
 	return statusNotExecuted, nil, classifier.New(classifier.EndpointRefused, "endpoint %s refused the request with status %d", choice.ID, response.Status).WithRetryAfter(notReadyRetryAfter)
 }
 
