Let a connection carry an id once, so that a copy of a refusal proves nothing

What callers saw: a booking ran twice, or was told "not run, try again" although it ran.

Cause: a response with the id of the request in progress was taken for the response to it, also on a connection that had carried the id before. An endpoint that sends a refusal once more, late, is then believed to refuse the later request too. The id comes again when a client repeats a refused request, and within one request when two registrations name the same address.

Change: a connection remembers the ids it has carried, as hashes, and a request gets one that has not carried its id; after 512 requests it is closed. On each connection an id then names one request, so it proves what the response belongs to. Tests of the exchanger give each request an id, which they lacked; their bounds are the same. The field repeated of the log is replaced by the gauge repeated_ids, since it cannot be set any more.

--- a/internal/exchanger/carried.go
+++ b/internal/exchanger/carried.go
@@ -6,12 +6,23 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-// carriedIDs remembers the ids of the requests that a connection has carried, as hashes. An id
-// that was not carried may be taken for one that was, but never the other way round.
-type carriedIDs []uint64
+// maxCarried bounds the requests that a connection carries, because it must not forget an id.
+const maxCarried = 512
+
+// idHash is the hash of a request's id. An id may be taken for another one that was carried, which
+// costs a new connection, but never for one that was not.
+type idHash uint64
+
+func hashID(id string) idHash { return idHash(xxhash.Sum64String(id)) }
+
+// carriedIDs remembers the ids of the requests that a connection has carried.
+type carriedIDs []idHash
 
 // add adds the id of a request.
-func (c *carriedIDs) add(id string) { *c = append(*c, xxhash.Sum64String(id)) }
+func (c *carriedIDs) add(id idHash) { *c = append(*c, id) }
 
 // contains reports whether the connection has carried a request with the id.
-func (c carriedIDs) contains(id string) bool { return slices.Contains(c, xxhash.Sum64String(id)) }
+func (c carriedIDs) contains(id idHash) bool { return slices.Contains(c, id) }
+
+// full reports whether no further id can be remembered.
+func (c carriedIDs) full() bool { return len(c) >= maxCarried }
--- a/internal/exchanger/exchanger.go
+++ b/internal/exchanger/exchanger.go
@@ -13,6 +13,7 @@
 	"net/http"
 	"net/netip"
 	"os"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -51,7 +52,8 @@
 
 // Request is a request as it is written to the connection.
 type Request struct {
-	// ID identifies the request in its response.
+	// ID identifies the request in its response. No connection carries an id twice, because the
+	// response to the earlier request may come again.
 	ID     string
 	Method string
 	// Target is the raw path and query.
@@ -130,8 +132,7 @@
 	// anonymous holds the addresses that have sent responses without an id, with the
 	// time of the last one.
 	anonymous map[netip.AddrPort]time.Time
-	opened    uint64
-	skipped   uint64
+	counts    Counts
 }
 
 // Matcher says whether a response belongs to the request with the given header.
@@ -171,8 +172,6 @@
 	// response proves nothing about the request.
 	Anonymous bool
 	Ambiguous bool
-	// Repeated is set if the connection had carried a request with the same id before.
-	Repeated bool
 
 	exchanger    *Exchanger
 	address      netip.AddrPort
@@ -190,7 +189,7 @@
 // Do sends a request and returns the head of its response. When ctx ends, the
 // connection is closed, which tells the endpoint to stop.
 func (e *Exchanger) Do(ctx context.Context, address netip.AddrPort, request *Request) (*Response, *Failure) {
-	connection, err := e.connect(ctx, address, request.Once)
+	connection, err := e.connect(ctx, address, request)
 	if err != nil {
 		return nil, &Failure{Stage: Unsent, Err: err}
 	}
@@ -201,8 +200,7 @@
 	if request.Connected != nil {
 		request.Connected()
 	}
-	repeated := connection.carried.contains(request.ID)
-	connection.carried.add(request.ID)
+	connection.carried.add(hashID(request.ID))
 	stopWatch := context.AfterFunc(ctx, func() { _ = connection.Close() })
 	written, err := connection.write(request)
 	if err != nil {
@@ -220,7 +218,6 @@
 		Header:       response.Header,
 		Anonymous:    match == Anonymous,
 		Ambiguous:    match == Anonymous && connection.shared,
-		Repeated:     repeated,
 		exchanger:    e,
 		address:      address,
 		conn:         connection,
@@ -294,14 +291,15 @@
 	return errors.Is(err, os.ErrDeadlineExceeded)
 }
 
-// connect returns an idle connection that is still open, or a new one. For a request that
-// must not run twice, it returns a new one if a response at the address may have no id.
-func (e *Exchanger) connect(ctx context.Context, address netip.AddrPort, once bool) (*conn, error) {
-	if once && e.isAnonymous(address) {
+// connect returns an idle connection that is still open and has not carried the request's id, or
+// a new one. For a request that must not run twice, it returns a new one if a response at the
+// address may have no id.
+func (e *Exchanger) connect(ctx context.Context, address netip.AddrPort, request *Request) (*conn, error) {
+	if request.Once && e.isAnonymous(address) {
 		return e.dial(ctx, address)
 	}
 	for {
-		connection := e.takeIdle(address)
+		connection := e.takeIdle(address, hashID(request.ID))
 		if connection == nil {
 			return e.dial(ctx, address)
 		}
@@ -327,18 +325,21 @@
 	return found
 }
 
-func (e *Exchanger) takeIdle(address netip.AddrPort) *conn {
+// takeIdle returns the idle connection that was used last of those that have not carried the id.
+// It returns nil if there is none.
+func (e *Exchanger) takeIdle(address netip.AddrPort, id idHash) *conn {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	list := e.idle[address]
-	if len(list) == 0 {
-		return nil
+	for i, connection := range slices.Backward(list) {
+		if connection.carried.contains(id) {
+			e.counts.Repeated++
+			continue
+		}
+		e.idle[address] = slices.Delete(list, i, i+1)
+		return connection
 	}
-	last := len(list) - 1
-	connection := list[last]
-	list[last] = nil
-	e.idle[address] = list[:last]
-	return connection
+	return nil
 }
 
 func (e *Exchanger) dial(ctx context.Context, address netip.AddrPort) (*conn, error) {
@@ -349,7 +350,7 @@
 		return nil, errors.Wrap(err, "dial")
 	}
 	e.mu.Lock()
-	e.opened++
+	e.counts.Opened++
 	e.mu.Unlock()
 	return newConn(netConn), nil
 }
@@ -414,7 +415,7 @@
 // skip reads the body of a response to another request.
 func (e *Exchanger) skip(response *http.Response) error {
 	e.mu.Lock()
-	e.skipped++
+	e.counts.Skipped++
 	e.mu.Unlock()
 	if closeDelimited(response) {
 		return errors.New("response to another request ends only with the connection")
@@ -461,16 +462,16 @@
 // Abort closes the connection, which ends a read in another goroutine. Close must be called too.
 func (r *Response) Abort() { _ = r.conn.Close() }
 
-// Close ends the exchange. The connection is closed if the body was not read to its end, or
-// if the response has no id: a second copy of it could not be told from the response to the
-// next request.
+// Close ends the exchange. The connection is closed if the body was not read to its end, if it
+// cannot remember further ids, or if the response has no id: a second copy of it could not be
+// told from the response to the next request.
 func (r *Response) Close() {
 	if r.closed {
 		return
 	}
 	r.closed = true
 	active := r.stopWatch()
-	if !active || !r.complete || r.Anonymous || closeDelimited(r.httpResponse) || r.httpResponse.Close || r.conn.reader.Buffered() > 0 || !r.requestWritten() {
+	if !active || !r.complete || r.Anonymous || closeDelimited(r.httpResponse) || r.httpResponse.Close || r.conn.reader.Buffered() > 0 || r.conn.carried.full() || !r.requestWritten() {
 		_ = r.conn.Close()
 		return
 	}
@@ -555,10 +556,20 @@
 	clear(e.idle)
 }
 
-// Counts returns the number of connections opened, and of responses to other
-// requests that were skipped.
-func (e *Exchanger) Counts() (opened, skipped uint64) {
+// Counts are the numbers of events since the exchanger was created.
+type Counts struct {
+	// Opened is the number of connections opened, Skipped that of responses to other requests
+	// that were skipped.
+	Opened  uint64
+	Skipped uint64
+	// Repeated is the number of idle connections that were not used for a request because they
+	// had carried its id.
+	Repeated uint64
+}
+
+// Counts returns the numbers of events so far.
+func (e *Exchanger) Counts() Counts {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.opened, e.skipped
+	return e.counts
 }
--- a/internal/exchanger/exchanger_test.go
+++ b/internal/exchanger/exchanger_test.go
@@ -3,11 +3,13 @@
 import (
 	"bufio"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"net/netip"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -52,11 +54,21 @@
 
 func anyResponse(int, http.Header, http.Header) exchanger.Match { return exchanger.Own }
 
+// lastID is the number in the id of the latest request that do has sent.
+var lastID atomic.Int64
+
+// do sends a request with an id of its own and reads its response.
 func do(t *testing.T, e *exchanger.Exchanger, address netip.AddrPort, body string) (string, *exchanger.Failure) {
+	t.Helper()
+	return doWithID(t, e, address, fmt.Sprint("r", lastID.Add(1)), body)
+}
+
+// doWithID sends a request with an id and reads its response.
+func doWithID(t *testing.T, e *exchanger.Exchanger, address netip.AddrPort, id, body string) (string, *exchanger.Failure) {
 	t.Helper()
 	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
 	defer cancel()
-	response, failure := e.Do(ctx, address, &exchanger.Request{Method: "POST", Target: "/x", Host: "h", Header: http.Header{}, Body: []byte(body)})
+	response, failure := e.Do(ctx, address, &exchanger.Request{ID: id, Method: "POST", Target: "/x", Host: "h", Header: http.Header{}, Body: []byte(body)})
 	if failure != nil {
 		return "", failure
 	}
@@ -112,8 +124,8 @@
 				}
 				<-handled
 			}
-			if opened, _ := e.Counts(); opened != row.wantOpened {
-				t.Errorf("connections got %d, want %d", opened, row.wantOpened)
+			if got := e.Counts().Opened; got != row.wantOpened {
+				t.Errorf("connections got %d, want %d", got, row.wantOpened)
 			}
 		})
 	}
--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -377,7 +377,7 @@
 	} else {
 		choice.ReportRefusal()
 	}
-	c.log("endpoint refused the request", c.endpointFields(choice, "status", response.Status, "anonymous", response.Anonymous, "repeated", response.Repeated, "running", info.Running, "waiting", info.Waiting)...)
+	c.log("endpoint refused the request", c.endpointFields(choice, "status", response.Status, "anonymous", response.Anonymous, "running", info.Running, "waiting", info.Waiting)...)
 	return statusNotExecuted, nil, classifier.New(classifier.EndpointRefused, "endpoint %s refused the request with status %d", choice.ID, response.Status).WithRetryAfter(notReadyRetryAfter)
 }
 
--- a/internal/runner/listen.go
+++ b/internal/runner/listen.go
@@ -117,8 +117,9 @@
 	gauge("cold_endpoints", func() float64 { return float64(r.tracker.ColdEndpoints()) })
 	gauge("suspected_parts", func() float64 { suspects, _ := r.quarantine.Counts(); return float64(suspects) })
 	gauge("quarantined_parts", func() float64 { _, quarantined := r.quarantine.Counts(); return float64(quarantined) })
-	gauge("connections_opened", func() float64 { opened, _ := r.exchanger.Counts(); return float64(opened) })
-	gauge("foreign_answers", func() float64 { _, misdirected := r.exchanger.Counts(); return float64(misdirected) })
+	gauge("connections_opened", func() float64 { return float64(r.exchanger.Counts().Opened) })
+	gauge("foreign_answers", func() float64 { return float64(r.exchanger.Counts().Skipped) })
+	gauge("repeated_ids", func() float64 { return float64(r.exchanger.Counts().Repeated) })
 }
 
 // handleMetrics writes the metrics of the daemon and of its process.
