Identify responses by the id that the request was sent with

What callers saw: a client that names Attempt-Id in its Connection header could be told that its booking was refused before it ran, although it ran; shown with an endpoint that sends a refusal without an id, late.

Cause: the header that Connection names was removed on the way to the endpoint, and the response was matched with what was left. Two missing ids were equal, so that a response without an id counted as the request's own, whatever its connection had carried.

A request without an id matches no response.

--- a/internal/exchanger/exchanger.go
+++ b/internal/exchanger/exchanger.go
@@ -52,7 +52,7 @@
 
 // Request is a request as it is written to the connection.
 type Request struct {
-	// ID identifies the request in its response. No connection carries an id twice, because the
+	// ID identifies the request in its response; the header must hold the same one. No connection carries an id twice, because the
 	// response to the earlier request may come again.
 	ID     string
 	Method string
@@ -135,8 +135,8 @@
 	counts    Counts
 }
 
-// Matcher says whether a response belongs to the request with the given header.
-type Matcher func(status int, response, request http.Header) Match
+// Matcher says whether a response belongs to the request with the id.
+type Matcher func(status int, response http.Header, id string) Match
 
 // New returns an exchanger that opens connections through the network.
 func New(network connector.Network, match Matcher) *Exchanger {
@@ -401,7 +401,7 @@
 		if response.StatusCode < http.StatusOK {
 			continue
 		}
-		if match := e.match(response.StatusCode, response.Header, request.Header); match != Foreign {
+		if match := e.match(response.StatusCode, response.Header, request.ID); match != Foreign {
 			return response, match, nil
 		}
 		connection.shared = true
--- a/internal/exchanger/exchanger_test.go
+++ b/internal/exchanger/exchanger_test.go
@@ -52,7 +52,7 @@
 	return string(body), err
 }
 
-func anyResponse(int, http.Header, http.Header) exchanger.Match { return exchanger.Own }
+func anyResponse(int, http.Header, string) exchanger.Match { return exchanger.Own }
 
 // lastID is the number in the id of the latest request that do has sent.
 var lastID atomic.Int64
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -197,8 +197,8 @@
 	random := rand.New(rand.NewPCG(uint64(time.Now().UnixNano()), uint64(deps.Clock())))
 	r.tracker = tracker.New(settings.Zone, random, time.Now, r.logger)
 	codec := deps.Translator
-	r.exchanger = exchanger.New(deps.Network, func(status int, response, request http.Header) exchanger.Match {
-		return matchResponse(codec.ParseResponse(status, response), status, codec.ParseResponse(0, request).RequestID)
+	r.exchanger = exchanger.New(deps.Network, func(status int, response http.Header, id string) exchanger.Match {
+		return matchResponse(codec.ParseResponse(status, response), status, id)
 	})
 	r.rollouts = newRolloutManager(r)
 	r.forwarder = forwarder.New(forwarder.Dependencies{
@@ -274,7 +274,7 @@
 // that is not successful may lack an id.
 func matchResponse(info forwarder.ResponseInfo, status int, requestID string) exchanger.Match {
 	switch {
-	case info.RequestID == requestID:
+	case info.RequestID == requestID && requestID != "":
 		return exchanger.Own
 	case info.RequestID == "" && status >= http.StatusMultipleChoices:
 		return exchanger.Anonymous
