Close a connection that is not used because it has carried the request's id

What callers saw: nothing yet. A client that sends one id again and again left up to 19 open connections of one daemon at an endpoint, which accepts a bounded number from all callers.

Cause: since a request with an id that all idle connections have carried gets a new connection, and the idle ones stay.

Change: one of them is closed in its place.

--- a/internal/exchanger/carried.go
+++ b/internal/exchanger/carried.go
@@ -9,8 +9,8 @@
 // maxCarried bounds the requests that a connection carries, because it must not forget an id.
 const maxCarried = 512
 
-// idHash is the hash of a request's id. An id may be taken for another one that was carried, which
-// costs a new connection, but never for one that was not.
+// idHash is the hash of a request's id. Two ids may have one hash: a connection that has carried one
+// of them then counts as having carried both, which costs a new one.
 type idHash uint64
 
 func hashID(id string) idHash { return idHash(xxhash.Sum64String(id)) }
--- a/internal/exchanger/carried_test.go
+++ b/internal/exchanger/carried_test.go
@@ -4,9 +4,13 @@
 	"bufio"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
-	"slices"
+	"net/http"
+	"sync"
+	"sync/atomic"
 	"testing"
+	"time"
 
 	"quetzalgrade.example/quetzalgrade/internal/connector"
 	"quetzalgrade.example/quetzalgrade/internal/exchanger"
@@ -56,8 +60,112 @@
 				}
 			}
 			if got := e.Counts().Opened; got != row.wantOpened {
-				t.Errorf("connections for %d ids got %d, want %d", len(slices.Compact(row.ids)), got, row.wantOpened)
+				t.Errorf("connections of %d requests got %d, want %d", len(row.ids), got, row.wantOpened)
 			}
 		})
 	}
 }
+
+// TestRepeatedIDLeavesNoConnections guards against a client that uses up the connections that an
+// endpoint accepts, by sending requests with one id again and again.
+func TestRepeatedIDLeavesNoConnections(t *testing.T) {
+	const requests = 40
+	var open, maxOpen atomic.Int64
+	address := listen(t, func(connection net.Conn, _ int) {
+		defer open.Add(-1)
+		if now := open.Add(1); now > maxOpen.Load() {
+			maxOpen.Store(now)
+		}
+		reader := bufio.NewReader(connection)
+		for {
+			if _, err := readRequest(reader); err != nil {
+				return
+			}
+			_, _ = io.WriteString(connection, okResponse)
+		}
+	})
+	e := exchanger.New(connector.TCP{}, anyResponse)
+	t.Cleanup(e.Close)
+	for range requests {
+		if got, failure := doWithID(t, e, address, "a", "x"); failure != nil || got != "done" {
+			t.Fatalf("Do() got %q, %v, want a response", got, failure)
+		}
+	}
+	// The endpoint learns a moment later that a connection is closed.
+	if got := maxOpen.Load(); got > requests/4 {
+		t.Errorf("open connections got %d, want about 1 and at most %d", got, requests/4)
+	}
+}
+
+// TestRandomCopies guards against a response that belongs to another request than the one in
+// progress: the endpoint sends copies of earlier responses on a connection at random moments, and
+// ids come again, also at the same time on other connections.
+func TestRandomCopies(t *testing.T) {
+	const (
+		clients  = 4
+		requests = 300
+		ids      = 20
+	)
+	random := func(seed uint64) *rand.Rand { return rand.New(rand.NewPCG(seed, 1)) }
+	address := listen(t, func(connection net.Conn, number int) {
+		sendRandomCopies(connection, random(uint64(number)))
+	})
+	e := exchanger.New(connector.TCP{}, matchID)
+	t.Cleanup(e.Close)
+	var group sync.WaitGroup
+	for client := range clients {
+		group.Go(func() {
+			random := random(uint64(1000 + client))
+			for i := range requests {
+				id, nonce := fmt.Sprint("i", random.IntN(ids)), fmt.Sprint("n", client, "-", i)
+				request := &exchanger.Request{ID: id, Method: "POST", Target: "/", Host: "h", Header: http.Header{"Id": {id}, "Nonce": {nonce}}, Body: []byte("x"), Once: true}
+				response, failure := e.Do(t.Context(), address, request)
+				if failure != nil {
+					continue
+				}
+				if got := response.Header.Get("Nonce"); got != nonce {
+					t.Errorf("response to request %s with id %s got that of %s", nonce, id, got)
+				}
+				_, _ = io.Copy(io.Discard, response)
+				response.Close()
+			}
+		})
+	}
+	group.Wait()
+}
+
+// matchID matches responses by their header Id.
+func matchID(_ int, response http.Header, id string) exchanger.Match {
+	if response.Get("Id") == id {
+		return exchanger.Own
+	}
+	return exchanger.Foreign
+}
+
+// sendRandomCopies responds to requests with their id and nonce, and sends copies of earlier
+// responses between and behind them.
+func sendRandomCopies(connection net.Conn, random *rand.Rand) {
+	reader := bufio.NewReader(connection)
+	var sent []string
+	sendCopy := func() {
+		if len(sent) > 0 && random.IntN(3) == 0 {
+			_, _ = io.WriteString(connection, sent[random.IntN(len(sent))])
+		}
+	}
+	for {
+		request, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, request.Body)
+		sendCopy()
+		status := []string{"200 OK", "503 Busy"}[random.IntN(2)]
+		text := fmt.Sprintf("HTTP/1.1 %s\r\nId: %s\r\nNonce: %s\r\nContent-Length: 4\r\n\r\ndone", status, request.Header.Get("Id"), request.Header.Get("Nonce"))
+		_, _ = io.WriteString(connection, text)
+		sent = append(sent, text)
+		if random.IntN(2) == 0 {
+			time.Sleep(time.Duration(random.IntN(200)) * time.Microsecond)
+			sendCopy()
+		}
+	}
+}
--- a/internal/exchanger/exchanger.go
+++ b/internal/exchanger/exchanger.go
@@ -326,19 +326,24 @@
 }
 
 // takeIdle returns the idle connection that was used last of those that have not carried the id.
-// It returns nil if there is none.
+// If there is none, it returns nil and closes one that has, whose place the new connection takes: a
+// client that repeats an id would otherwise use up what the endpoint accepts.
 func (e *Exchanger) takeIdle(address netip.AddrPort, id idHash) *conn {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	list := e.idle[address]
 	for i, connection := range slices.Backward(list) {
 		if connection.carried.contains(id) {
-			e.counts.Repeated++
+			e.counts.PassedOver++
 			continue
 		}
 		e.idle[address] = slices.Delete(list, i, i+1)
 		return connection
 	}
+	if last := len(list) - 1; last >= 0 {
+		_ = list[last].Close()
+		e.idle[address] = slices.Delete(list, last, last+1)
+	}
 	return nil
 }
 
@@ -562,9 +567,9 @@
 	// that were skipped.
 	Opened  uint64
 	Skipped uint64
-	// Repeated is the number of idle connections that were not used for a request because they
-	// had carried its id.
-	Repeated uint64
+	// PassedOver is the number of times that an idle connection was not used for a request
+	// because it had carried the id.
+	PassedOver uint64
 }
 
 // Counts returns the numbers of events so far.
--- a/internal/runner/listen.go
+++ b/internal/runner/listen.go
@@ -119,7 +119,7 @@
 	gauge("quarantined_parts", func() float64 { _, quarantined := r.quarantine.Counts(); return float64(quarantined) })
 	gauge("connections_opened", func() float64 { return float64(r.exchanger.Counts().Opened) })
 	gauge("foreign_answers", func() float64 { return float64(r.exchanger.Counts().Skipped) })
-	gauge("repeated_ids", func() float64 { return float64(r.exchanger.Counts().Repeated) })
+	gauge("connections_passed_over", func() float64 { return float64(r.exchanger.Counts().PassedOver) })
 }
 
 // handleMetrics writes the metrics of the daemon and of its process.
