Give up a HEAD request when a response to another request comes first

What callers saw: nothing known. A HEAD request could get a status that stands in the body of a response to another request.

Cause: the responses to HEAD have no body, so the body of a skipped response to another request was read as the next response.

Change: such a connection is closed; the request may have run.

--- a/internal/exchanger/carried_test.go
+++ b/internal/exchanger/carried_test.go
@@ -134,6 +134,29 @@
 	group.Wait()
 }
 
+// TestCopyBeforeResponseToHead guards against bytes in the body of a response to another request
+// that are taken for the response to a HEAD request, whose responses have no body.
+func TestCopyBeforeResponseToHead(t *testing.T) {
+	const hidden = "HTTP/1.1 503 Busy\r\nId: a\r\nContent-Length: 0\r\n\r\n"
+	address := listen(t, func(connection net.Conn, _ int) {
+		if _, err := http.ReadRequest(bufio.NewReader(connection)); err != nil {
+			return
+		}
+		_, _ = fmt.Fprintf(connection, "HTTP/1.1 200 OK\r\nId: b\r\nContent-Length: %d\r\n\r\n%s", len(hidden), hidden)
+		_, _ = io.WriteString(connection, "HTTP/1.1 200 OK\r\nId: a\r\nContent-Length: 4\r\n\r\n")
+	})
+	e := exchanger.New(connector.TCP{}, matchID)
+	t.Cleanup(e.Close)
+	response, failure := e.Do(t.Context(), address, &exchanger.Request{ID: "a", Method: http.MethodHead, Target: "/", Host: "h", Header: http.Header{"Id": {"a"}}})
+	if failure == nil {
+		response.Close()
+		t.Fatalf("Do() got a response with status %d, want a failure", response.Status)
+	}
+	if failure.Stage != exchanger.Sent {
+		t.Errorf("stage of the failure got %d, want %d: the request may have run", failure.Stage, exchanger.Sent)
+	}
+}
+
 // matchID matches responses by their header Id.
 func matchID(_ int, response http.Header, id string) exchanger.Match {
 	if response.Get("Id") == id {
--- a/internal/exchanger/exchanger.go
+++ b/internal/exchanger/exchanger.go
@@ -425,6 +425,9 @@
 	if closeDelimited(response) {
 		return errors.New("response to another request ends only with the connection")
 	}
+	if response.Request.Method == http.MethodHead {
+		return errors.New("response to another request may have a body, which cannot be told from the next response")
+	}
 	if _, err := io.CopyN(io.Discard, response.Body, maxSkippedBytes); !errors.Is(err, io.EOF) {
 		return errors.New("response to another request exceeds the size limit or is truncated")
 	}
