Carry the log's epoch with each position in it

Cause: the log can come back from an older copy, and gives out offsets again.

Change: types and calls carry the epoch that the log names in its responses. Nothing acts on the epoch yet. Tests follow the changed signatures only.

--- a/internal/relayer/client.go
+++ b/internal/relayer/client.go
@@ -14,10 +14,10 @@
 )
 
 // Read implements subscriber.Peer.
-func (r *Relayer) Read(ctx context.Context, topic string, from int64) (subscriber.Page, time.Duration, error) {
+func (r *Relayer) Read(ctx context.Context, topic string, from subscriber.Position) (subscriber.Page, time.Duration, error) {
 	message, err := callReader(ctx, r, readWait+responseSlack, func(ctx context.Context, reader *readerClients) (*schema.RelayResponse, error) {
 		response, err := reader.relay.Read(ctx, connect.NewRequest(&schema.RelayRequest{
-			Zone: r.Zone, Reader: reader.Name, Topic: topic, From: from, Wait: durationpb.New(readWait),
+			Zone: r.Zone, Reader: reader.Name, Topic: topic, From: from.Offset, Epoch: uint64(from.Epoch), Wait: durationpb.New(readWait),
 		}))
 		if err != nil {
 			return nil, err
@@ -106,7 +106,7 @@
 // decodePage converts a response of the RelayService to a page.
 func decodePage(response *schema.RelayResponse) subscriber.Page {
 	// Daemons of an earlier version set no end and always respond with all records.
-	page := subscriber.Page{Next: response.GetNext(), End: max(response.GetNext(), response.GetEnd())}
-	page.Records = decodeRecords(response.GetRecords())
+	page := subscriber.Page{Next: response.GetNext(), End: max(response.GetNext(), response.GetEnd()), Epoch: subscriber.Epoch(response.GetEpoch())}
+	page.Records = decodeRecords(response.GetRecords(), page.Epoch)
 	return page
 }
--- a/internal/relayer/handler.go
+++ b/internal/relayer/handler.go
@@ -25,7 +25,7 @@
 	if err != nil {
 		return nil, err
 	}
-	page, age, err := topic.RecordsFrom(ctx, message.GetFrom(), min(maxWait, message.GetWait().AsDuration()))
+	page, age, err := topic.RecordsFrom(ctx, subscriber.Position{Epoch: subscriber.Epoch(message.GetEpoch()), Offset: message.GetFrom()}, min(maxWait, message.GetWait().AsDuration()))
 	switch {
 	case errors.Is(err, subscriber.ErrExpired):
 		return nil, connect.NewError(connect.CodeOutOfRange, err)
@@ -34,8 +34,8 @@
 	case err != nil:
 		return nil, connect.NewError(connect.CodeUnavailable, err)
 	}
-	response := &schema.RelayResponse{Next: page.Next, End: page.End, Age: durationpb.New(age), Held: durationpb.New(s.Clock() - started)}
-	response.Records = encodeRecords(page.Records)
+	response := &schema.RelayResponse{Next: page.Next, End: page.End, Epoch: uint64(page.Epoch), Age: durationpb.New(age), Held: durationpb.New(s.Clock() - started)}
+	response.Records = encodeRecords(page.Records, page.Epoch)
 	s.Logger.Trace("served page to another daemon", "topic", message.GetTopic(), "from", message.GetFrom(), "next", page.Next, "age", noter.FormatDuration(age))
 	return connect.NewResponse(response), nil
 }
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -64,12 +64,12 @@
 
 // ReaderTopic is the keyed topic that holds the zone reader of each zone.
 type ReaderTopic interface {
-	// Newest returns the newest record of each key, and the offset at which the topic
+	// Newest returns the newest record of each key, and the position at which the topic
 	// ends.
-	Newest(ctx context.Context) ([]subscriber.Record, int64, error)
-	// AppendAt adds a record if the topic ends at the offset. Otherwise, it returns
+	Newest(ctx context.Context) (subscriber.Snapshot, error)
+	// AppendAt adds a record if the topic ends at the position. Otherwise, it returns
 	// subscriber.ErrOffsetConflict.
-	AppendAt(ctx context.Context, key string, value []byte, at int64) error
+	AppendAt(ctx context.Context, key string, value []byte, at subscriber.Position) error
 }
 
 // LoadTracker holds the known loads of endpoints.
@@ -301,12 +301,12 @@
 	ctx, cancel := context.WithTimeout(ctx, checkTimeout)
 	defer cancel()
 	for range maxClaims {
-		records, end, err := r.ReaderTopic.Newest(ctx)
+		snapshot, err := r.ReaderTopic.Newest(ctx)
 		if err != nil {
 			r.Logger.Debug("cannot read the zone readers from the log", "error", err)
 			return
 		}
-		readers := DecodeReaders(records, r.Logger)
+		readers := DecodeReaders(snapshot.Records, r.Logger)
 		r.setOtherReaders(readers)
 		reader := readers[r.Zone]
 		role := r.chooseRole(reader)
@@ -321,13 +321,13 @@
 		}
 		// Other daemons may find the record before this daemon gets the response.
 		r.setRole(Claiming, r.Self)
-		err = r.claimReader(ctx, end)
+		err = r.claimReader(ctx, snapshot.Next)
 		if err == nil {
 			r.setRole(Reading, r.Self)
 			return
 		}
 		r.setRole(Alone, r.Self)
-		r.Logger.Debug("claim of the zone reader role failed", "zone", r.Zone, "at", end, "error", err)
+		r.Logger.Debug("claim of the zone reader role failed", "zone", r.Zone, "at", snapshot.Next.Offset, "error", err)
 		if !errors.Is(err, subscriber.ErrOffsetConflict) {
 			return
 		}
@@ -397,7 +397,7 @@
 
 // claimReader records this daemon as the zone reader. It returns
 // subscriber.ErrOffsetConflict if a record was appended since the topic was read.
-func (r *Relayer) claimReader(ctx context.Context, at int64) error {
+func (r *Relayer) claimReader(ctx context.Context, at subscriber.Position) error {
 	value, err := r.Self.Encode()
 	if err != nil {
 		return err
--- a/internal/relayer/snapshot.go
+++ b/internal/relayer/snapshot.go
@@ -30,7 +30,7 @@
 
 // Newest implements subscriber.Peer. A daemon that has just started waits until it
 // knows the zone reader.
-func (r *Relayer) Newest(ctx context.Context, topic string) (records []subscriber.Record, next int64, lag time.Duration, err error) {
+func (r *Relayer) Newest(ctx context.Context, topic string) (snapshot subscriber.Snapshot, lag time.Duration, err error) {
 	message, err := callReader(ctx, r, snapshotWait+snapshotSlack, func(ctx context.Context, reader *readerClients) (*schema.SnapshotResponse, error) {
 		response, err := reader.snapshot.Newest(ctx, connect.NewRequest(&schema.SnapshotRequest{Zone: r.Zone, Reader: reader.Name, Topic: topic}))
 		if err != nil {
@@ -39,12 +39,13 @@
 		return response.Msg, nil
 	})
 	if err != nil {
-		return nil, 0, 0, err
+		return subscriber.Snapshot{}, 0, err
 	}
-	if records, err = unpackRecords(message.GetRecords()); err != nil {
-		return nil, 0, 0, err
+	snapshot.Next = subscriber.Position{Epoch: subscriber.Epoch(message.GetEpoch()), Offset: message.GetNext()}
+	if snapshot.Records, err = unpackRecords(message.GetRecords(), snapshot.Next.Epoch); err != nil {
+		return subscriber.Snapshot{}, 0, err
 	}
-	return records, message.GetNext(), message.GetAge().AsDuration() - message.GetHeld().AsDuration(), nil
+	return snapshot, message.GetAge().AsDuration() - message.GetHeld().AsDuration(), nil
 }
 
 // snapshotCache holds the encoded snapshot of a topic for the daemons that ask at
@@ -54,7 +55,7 @@
 	lock    chan struct{}
 	encoded []byte
 	// next and verifiedAt belong to the snapshot, encodedAt is when it was taken.
-	next       int64
+	next       subscriber.Position
 	verifiedAt time.Duration
 	encodedAt  time.Duration
 }
@@ -91,17 +92,17 @@
 		if err != nil {
 			return nil, err
 		}
-		if c.encoded, err = packRecords(snapshot.Records); err != nil {
+		if c.encoded, err = packRecords(snapshot.Records, snapshot.Next.Epoch); err != nil {
 			return nil, err
 		}
 		c.next, c.verifiedAt, c.encodedAt = snapshot.Next, snapshot.VerifiedAt, clock()
 	}
-	return &schema.SnapshotResponse{Records: c.encoded, Next: c.next, Age: durationpb.New(clock() - c.verifiedAt)}, nil
+	return &schema.SnapshotResponse{Records: c.encoded, Next: c.next.Offset, Epoch: uint64(c.next.Epoch), Age: durationpb.New(clock() - c.verifiedAt)}, nil
 }
 
-// packRecords encodes and compresses records.
-func packRecords(records []subscriber.Record) ([]byte, error) {
-	data, err := proto.Marshal(&schema.SnapshotRecords{Records: encodeRecords(records)})
+// packRecords encodes and compresses the records of a message of the epoch.
+func packRecords(records []subscriber.Record, epoch subscriber.Epoch) ([]byte, error) {
+	data, err := proto.Marshal(&schema.SnapshotRecords{Records: encodeRecords(records, epoch)})
 	if err != nil {
 		return nil, errors.Wrap(err, "encode snapshot")
 	}
@@ -120,7 +121,7 @@
 }
 
 // unpackRecords reverses packRecords.
-func unpackRecords(packed []byte) ([]subscriber.Record, error) {
+func unpackRecords(packed []byte, epoch subscriber.Epoch) ([]subscriber.Record, error) {
 	reader, err := gzip.NewReader(bytes.NewReader(packed))
 	if err != nil {
 		return nil, errors.Wrap(err, "decompress snapshot")
@@ -136,21 +137,31 @@
 	if err := proto.Unmarshal(data, message); err != nil {
 		return nil, errors.Wrap(err, "decode snapshot")
 	}
-	return decodeRecords(message.GetRecords()), nil
+	return decodeRecords(message.GetRecords(), epoch), nil
 }
 
-func encodeRecords(records []subscriber.Record) []*schema.RelayRecord {
+// encodeRecords encodes the records of a message of the epoch.
+func encodeRecords(records []subscriber.Record, epoch subscriber.Epoch) []*schema.RelayRecord {
 	var encoded []*schema.RelayRecord
 	for _, record := range records {
-		encoded = append(encoded, &schema.RelayRecord{Key: record.Key, Value: record.Value, Offset: record.Offset})
+		message := &schema.RelayRecord{Key: record.Key, Value: record.Value, Offset: record.Offset}
+		if record.Epoch != epoch {
+			message.Epoch = uint64(record.Epoch)
+		}
+		encoded = append(encoded, message)
 	}
 	return encoded
 }
 
-func decodeRecords(encoded []*schema.RelayRecord) []subscriber.Record {
+// decodeRecords reverses encodeRecords.
+func decodeRecords(encoded []*schema.RelayRecord, epoch subscriber.Epoch) []subscriber.Record {
 	var records []subscriber.Record
-	for _, record := range encoded {
-		records = append(records, subscriber.Record{Key: record.GetKey(), Value: record.GetValue(), Offset: record.GetOffset()})
+	for _, message := range encoded {
+		record := subscriber.Record{Key: message.GetKey(), Value: message.GetValue(), Offset: message.GetOffset(), Epoch: epoch}
+		if message.GetEpoch() != 0 {
+			record.Epoch = subscriber.Epoch(message.GetEpoch())
+		}
+		records = append(records, record)
 	}
 	return records
 }
--- a/internal/runner/contacts.go
+++ b/internal/runner/contacts.go
@@ -96,12 +96,12 @@
 		}
 		*published = true
 	}
-	records, _, err := c.deps.ContactTopic.Newest(ctx)
+	snapshot, err := c.deps.ContactTopic.Newest(ctx)
 	if err != nil {
 		return err
 	}
 	var addresses []netip.AddrPort
-	for other, contact := range relayer.DecodeReaders(records, c.logger) {
+	for other, contact := range relayer.DecodeReaders(snapshot.Records, c.logger) {
 		if other != zone {
 			addresses = append(addresses, contact.Address)
 		}
--- a/internal/runner/progress.go
+++ b/internal/runner/progress.go
@@ -193,7 +193,7 @@
 // topic's end, so that only one of the daemons writes the state. A conflict is
 // not an error: another daemon has written first.
 func (m *rolloutManager) statusWrite(status promoter.Status) func(context.Context) error {
-	offset := m.statusTopic.NextOffset()
+	next := m.statusTopic.Next()
 	return func(ctx context.Context) error {
 		ctx, cancel := context.WithTimeout(ctx, writeTimeout)
 		defer cancel()
@@ -201,12 +201,12 @@
 		if err != nil {
 			return err
 		}
-		err = m.deps.StatusTopic.AppendAt(ctx, key, value, offset)
+		err = m.deps.StatusTopic.AppendAt(ctx, key, value, next)
 		if errors.Is(err, subscriber.ErrOffsetConflict) {
 			return nil
 		}
 		if err == nil {
-			m.logger.Info("rollout state written", "service", status.Service, "target", status.Target, "state", status.State.String(), "at", offset)
+			m.logger.Info("rollout state written", "service", status.Service, "target", status.Target, "state", status.State.String(), "at", next.Offset)
 		}
 		return err
 	}
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -53,9 +53,9 @@
 	subscriber.Source
 	// Append adds a record.
 	Append(ctx context.Context, key string, value []byte) error
-	// AppendAt adds a record if the topic ends at the offset. Otherwise, it returns
+	// AppendAt adds a record if the topic ends at the position. Otherwise, it returns
 	// subscriber.ErrOffsetConflict.
-	AppendAt(ctx context.Context, key string, value []byte, at int64) error
+	AppendAt(ctx context.Context, key string, value []byte, at subscriber.Position) error
 }
 
 // OperatorRecord is one record of the operators' topic.
--- a/internal/subscriber/subscriber.go
+++ b/internal/subscriber/subscriber.go
@@ -21,14 +21,26 @@
 var ErrExpired = errors.New("records at the requested offset have expired")
 
 // ErrOffsetConflict is returned by a conditional append when the topic does not
-// end at the expected offset.
+// end at the expected position.
 var ErrOffsetConflict = errors.New("topic does not end at the expected offset")
 
+// Epoch counts how often the log has come back from an older copy, which lacks the last
+// records. It is 0 if the log does not say. Offsets of different epochs cannot be compared.
+type Epoch uint64
+
+// Position is a place in a topic.
+type Position struct {
+	Epoch  Epoch
+	Offset int64
+}
+
 // Record is one record of a topic. An empty value deletes its key.
 type Record struct {
 	Key    string
 	Value  []byte
 	Offset int64
+	// Epoch is the latest epoch in which the log held the record at the offset.
+	Epoch Epoch
 }
 
 // Page is the result of one read.
@@ -40,13 +52,15 @@
 	// the next append will get.
 	Next int64
 	End  int64
+	// Epoch is that of the offsets.
+	Epoch Epoch
 }
 
 // Source reads one topic of keyed records.
 type Source interface {
-	// Newest returns the newest record of each key, and the offset from which Read
-	// returns all newer records.
-	Newest(ctx context.Context) ([]Record, int64, error)
+	// Newest returns the newest record of each key, and the position from which Read
+	// returns all newer records. All of it is of one epoch. VerifiedAt is not set.
+	Newest(ctx context.Context) (Snapshot, error)
 	// Read returns the records from an offset on. If there are none, it waits for
 	// one for at most the given time. It returns ErrExpired if the records have
 	// been removed.
@@ -55,15 +69,16 @@
 
 // Peer is another daemon that has read the topic.
 type Peer interface {
-	// Newest returns the newest record of each key, the offset from which Read returns
-	// all newer records, and the lag as Read does.
-	Newest(ctx context.Context, topic string) (records []Record, next int64, lag time.Duration, err error)
-	// Read returns the records from an offset on, and how long before this call
+	// Newest returns the newest record of each key, the position from which Read returns
+	// all newer records, and the lag as Read does. A record of an older epoch than that of
+	// the position has been lost by the log.
+	Newest(ctx context.Context, topic string) (snapshot Snapshot, lag time.Duration, err error)
+	// Read returns the records from a position on, and how long before this call
 	// the peer's last verified read was sent. The lag is negative if that read was
 	// sent after the call. The end of the page is the offset after the last record that
 	// the peer has read. It returns ErrExpired if the peer no longer has the records, and
 	// ErrUnread if it does not follow the topic now.
-	Read(ctx context.Context, topic string, from int64) (page Page, lag time.Duration, err error)
+	Read(ctx context.Context, topic string, from Position) (page Page, lag time.Duration, err error)
 }
 
 // ErrNoPeer is returned by a Peer when there is no daemon to read from.
@@ -79,6 +94,13 @@
 	// change or an earlier one, or has been replaced. It may be lower than that of an earlier
 	// change, because a peer may have read less.
 	Next int64
+	// Epoch is that of Next. The first change of a new epoch is delivered even if it has no
+	// records.
+	Epoch Epoch
+	// Lost holds the keys of which the log has lost the newest record, in a change that is
+	// not complete. What was known of them holds until they are written again, or until the
+	// next complete change.
+	Lost []string
 }
 
 // Clock returns the time since a fixed moment. It keeps counting while the host
@@ -135,8 +157,9 @@
 	onSilence func()
 
 	mu sync.Mutex
-	// nextOffset is the offset of the next read.
+	// nextOffset is the offset of the next read, epoch that of the log.
 	nextOffset int64
+	epoch      Epoch
 	// verifiedAt is the time of the last verified read: everything appended before
 	// it has been read. It is valid if verified is set.
 	verifiedAt time.Duration
@@ -230,8 +253,8 @@
 // a newer verified read, or the wait is over. It returns ErrUnread, ErrFailing
 // or ErrExpired if it cannot serve the records, and the error of ctx if that ends
 // first.
-func (s *Subscriber) RecordsFrom(ctx context.Context, from int64, wait time.Duration) (Page, time.Duration, error) {
-	page, verifiedAt, err := s.window.recordsFrom(ctx, from, wait)
+func (s *Subscriber) RecordsFrom(ctx context.Context, from Position, wait time.Duration) (Page, time.Duration, error) {
+	page, verifiedAt, err := s.window.recordsFrom(ctx, from.Offset, wait)
 	return page, s.clock() - verifiedAt, err
 }
 
@@ -243,8 +266,8 @@
 	return s.window.snapshot(ctx, wait)
 }
 
-// CoversFrom reports whether RecordsFrom can serve the records from an offset on.
-func (s *Subscriber) CoversFrom(offset int64) bool { return s.window.coversFrom(offset) }
+// CoversFrom reports whether RecordsFrom can serve the records from a position on.
+func (s *Subscriber) CoversFrom(from Position) bool { return s.window.coversFrom(from.Offset) }
 
 // Run follows the topic until ctx ends, and returns the error of ctx.
 func (s *Subscriber) Run(ctx context.Context) error {
@@ -332,7 +355,7 @@
 		return false
 	}
 	sentAt := s.clock()
-	page, lag, err := s.peer.Read(ctx, s.name, s.NextOffset())
+	page, lag, err := s.peer.Read(ctx, s.name, s.Next())
 	switch {
 	case errors.Is(err, ErrExpired):
 		// The peer has all keys, but no longer the records since this offset.
@@ -364,12 +387,12 @@
 // applyPage passes the records of a page to the handler. If the page reaches
 // the end of the topic, every record appended before verifiedAt has been read.
 func (s *Subscriber) applyPage(page Page, verifiedAt time.Duration) {
-	s.setNextOffset(page.Next)
+	s.setNext(Position{Epoch: page.Epoch, Offset: page.Next})
 	for _, err := range page.Invalid {
 		s.logger.Warn("invalid record in topic", "topic", s.name, "error", err)
 	}
 	if len(page.Records) > 0 {
-		s.handle(Change{Records: page.Records, Next: page.Next})
+		s.handle(Change{Records: page.Records, Next: page.Next, Epoch: page.Epoch})
 	}
 	atEnd := page.Next >= page.End
 	s.recordVerifiedRead(verifiedAt, atEnd)
@@ -446,17 +469,17 @@
 	return s.source.Read(ctx, s.nextOffset, 0)
 }
 
-func (s *Subscriber) setNextOffset(next int64) {
+func (s *Subscriber) setNext(next Position) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.nextOffset = next
+	s.nextOffset, s.epoch = next.Offset, next.Epoch
 }
 
-// NextOffset returns the offset after the last record that was handled.
-func (s *Subscriber) NextOffset() int64 {
+// Next returns the position after the last record that was handled.
+func (s *Subscriber) Next() Position {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.nextOffset
+	return Position{Epoch: s.epoch, Offset: s.nextOffset}
 }
 
 // readNewest reads the newest record of every key, from the peer if it has them.
@@ -467,11 +490,11 @@
 	sentAt := s.clock()
 	bounded, cancel := context.WithTimeout(ctx, newestTimeout)
 	defer cancel()
-	items, next, err := s.source.Newest(bounded)
+	snapshot, err := s.source.Newest(bounded)
 	if err != nil {
 		return err
 	}
-	s.applyNewest(items, next, sentAt)
+	s.applyNewest(snapshot, sentAt)
 	return nil
 }
 
@@ -482,26 +505,26 @@
 		return false
 	}
 	sentAt := s.clock()
-	records, next, lag, err := s.peer.Newest(ctx, s.name)
+	snapshot, lag, err := s.peer.Newest(ctx, s.name)
 	if err != nil {
 		if !errors.Is(err, ErrNoPeer) {
 			s.logger.Debug("cannot read all keys from peer; reading the log", "topic", s.name, "error", err)
 		}
 		return false
 	}
-	s.applyNewest(records, next, sentAt-lag)
+	s.applyNewest(snapshot, sentAt-lag)
 	s.afterPeer = true
 	return true
 }
 
 // applyNewest passes the newest records of all keys to the handler. Every record
 // appended before verifiedAt has been read.
-func (s *Subscriber) applyNewest(records []Record, next int64, verifiedAt time.Duration) {
-	s.setNextOffset(next)
+func (s *Subscriber) applyNewest(snapshot Snapshot, verifiedAt time.Duration) {
+	s.setNext(snapshot.Next)
 	s.initialised = true
-	s.handle(Change{Complete: true, Records: records, Next: next})
+	s.handle(Change{Complete: true, Records: snapshot.Records, Next: snapshot.Next.Offset, Epoch: snapshot.Next.Epoch})
 	s.recordVerifiedRead(verifiedAt, true)
-	s.window.load(records, next, verifiedAt)
+	s.window.load(snapshot.Records, snapshot.Next.Offset, verifiedAt)
 }
 
 // recordVerifiedRead records that everything appended before sentAt has been
--- a/internal/subscriber/subscriber_test.go
+++ b/internal/subscriber/subscriber_test.go
@@ -18,9 +18,9 @@
 	newestReads int
 }
 
-func (s *fakeSource) Newest(context.Context) ([]subscriber.Record, int64, error) {
+func (s *fakeSource) Newest(context.Context) (subscriber.Snapshot, error) {
 	s.newestReads++
-	return []subscriber.Record{{Key: "k", Value: []byte("v")}}, 5, nil
+	return subscriber.Snapshot{Records: []subscriber.Record{{Key: "k", Value: []byte("v")}}, Next: subscriber.Position{Offset: 5}}, nil
 }
 
 func (s *fakeSource) Read(ctx context.Context, from int64, wait time.Duration) (subscriber.Page, error) {
--- a/internal/subscriber/window.go
+++ b/internal/subscriber/window.go
@@ -238,8 +238,8 @@
 // Snapshot is the newest record of each key of a topic.
 type Snapshot struct {
 	Records []Record
-	// Next is the offset from which Read returns all newer records.
-	Next int64
+	// Next is the position from which Read returns all newer records.
+	Next Position
 	// VerifiedAt is when everything appended before had been read.
 	VerifiedAt time.Duration
 }
@@ -277,7 +277,7 @@
 		return Snapshot{}, w.changed, ErrFailing
 	}
 	records := slices.SortedFunc(maps.Values(w.newest), func(a, b Record) int { return cmp.Compare(a.Offset, b.Offset) })
-	return Snapshot{Records: records, Next: w.nextOffset, VerifiedAt: w.verifiedAt}, w.changed, nil
+	return Snapshot{Records: records, Next: Position{Offset: w.nextOffset}, VerifiedAt: w.verifiedAt}, w.changed, nil
 }
 
 // coversFrom reports whether the buffered records begin at the offset or before.
--- a/internal/subscriber/window_test.go
+++ b/internal/subscriber/window_test.go
@@ -16,13 +16,13 @@
 // peerFunc is a peer whose reads are served by a function.
 type peerFunc func(ctx context.Context, from int64) (subscriber.Page, time.Duration, error)
 
-func (p peerFunc) Read(ctx context.Context, _ string, from int64) (subscriber.Page, time.Duration, error) {
-	return p(ctx, from)
+func (p peerFunc) Read(ctx context.Context, _ string, from subscriber.Position) (subscriber.Page, time.Duration, error) {
+	return p(ctx, from.Offset)
 }
 
 // Newest implements subscriber.Peer. The peer has no snapshot.
-func (p peerFunc) Newest(context.Context, string) ([]subscriber.Record, int64, time.Duration, error) {
-	return nil, 0, 0, subscriber.ErrNoPeer
+func (p peerFunc) Newest(context.Context, string) (subscriber.Snapshot, time.Duration, error) {
+	return subscriber.Snapshot{}, 0, subscriber.ErrNoPeer
 }
 
 // The lag of a peer's response counts back from when the request was sent. If it
@@ -134,14 +134,14 @@
 				}}
 				s := subscriber.New("t", log, subscriber.ReadTiming{Wait: time.Second}, func() time.Duration { return time.Since(start) },
 					func(subscriber.Change) {}, hclog.NewNullLogger())
-				if _, _, err := s.RecordsFrom(t.Context(), 5, 0); !errors.Is(err, subscriber.ErrUnread) {
+				if _, _, err := s.RecordsFrom(t.Context(), subscriber.Position{Offset: 5}, 0); !errors.Is(err, subscriber.ErrUnread) {
 					t.Errorf("RecordsFrom() before the first read got error %v, want %v", err, subscriber.ErrUnread)
 				}
 				ctx, cancel := context.WithCancel(t.Context())
 				done := make(chan error, 1)
 				go func() { done <- s.Run(ctx) }()
 				time.Sleep(100 * time.Millisecond)
-				page, age, err := s.RecordsFrom(t.Context(), row.from, 3*time.Second)
+				page, age, err := s.RecordsFrom(t.Context(), subscriber.Position{Offset: row.from}, 3*time.Second)
 				if !errors.Is(err, row.wantErr) {
 					t.Fatalf("RecordsFrom() got error %v, want %v", err, row.wantErr)
 				}
@@ -167,7 +167,7 @@
 				if snapshot, err := s.Snapshot(t.Context(), 0); err != nil || len(snapshot.Records) != want {
 					t.Errorf("Snapshot() after Run() returned got %d records, %v, want %d", len(snapshot.Records), err, want)
 				}
-				if _, _, err := s.RecordsFrom(t.Context(), row.from, 0); !errors.Is(err, subscriber.ErrUnread) && row.wantErr == nil {
+				if _, _, err := s.RecordsFrom(t.Context(), subscriber.Position{Offset: row.from}, 0); !errors.Is(err, subscriber.ErrUnread) && row.wantErr == nil {
 					t.Errorf("RecordsFrom() after Run() returned got error %v, want %v", err, subscriber.ErrUnread)
 				}
 			})
