--- a/internal/subscriber/window.go
+++ b/internal/subscriber/window.go
@@ -235,15 +235,6 @@
 	return records, end
 }
 
-// Snapshot is the newest record of each key of a topic.
-type Snapshot struct {
-	Records []Record
-	// Next is the position from which Read returns all newer records.
-	Next Position
-	// VerifiedAt is when everything appended before had been read.
-	VerifiedAt time.Duration
-}
-
 // snapshot returns the newest records of all keys. It waits until they have been
 // read, but not longer than the given time. If the topic is not followed any more, the
 // records are those until then.
