Void a follower's position in its reader when the log was restored

Cause: after a restore of the log, a zone reader reads all keys again and may stand before the offset at which a follower goes on reading. It answered with an empty page at the follower's own offset, so the follower counted as up to date and never read the records that were written at lower offsets.

Change: the window knows its epoch. A read from a position of an older epoch is expired, one of a newer epoch unread. A page without an epoch doesn't reset the subscriber's.

Why it works: offsets are only compared within an epoch, so the follower takes all keys from its reader again, and goes on from the reader's position.

--- a/internal/subscriber/newest.go
+++ b/internal/subscriber/newest.go
@@ -45,9 +45,9 @@
 // applyNewest passes the newest records of all keys to the handler. Every record
 // appended before verifiedAt has been read.
 func (s *Subscriber) applyNewest(snapshot Snapshot, verifiedAt time.Duration) {
-	s.setNext(snapshot.Next)
+	next := s.setNext(snapshot.Next)
 	s.initialised = true
-	s.handle(Change{Complete: true, Records: snapshot.Records, Next: snapshot.Next.Offset, Epoch: snapshot.Next.Epoch})
+	s.handle(Change{Complete: true, Records: snapshot.Records, Next: next.Offset, Epoch: next.Epoch})
 	s.recordVerifiedRead(verifiedAt, true)
-	s.window.load(snapshot.Records, snapshot.Next.Offset, verifiedAt)
+	s.window.load(snapshot.Records, next, verifiedAt)
 }
--- a/internal/subscriber/subscriber.go
+++ b/internal/subscriber/subscriber.go
@@ -160,13 +160,13 @@
 // Name returns the name of the topic.
 func (s *Subscriber) Name() string { return s.name }
 
-// RecordsFrom returns the records that the subscriber has read from an offset
+// RecordsFrom returns the records that the subscriber has read from a position
 // on, and the age of its last verified read. It waits until there are records,
 // a newer verified read, or the wait is over. It returns ErrUnread, ErrFailing
 // or ErrExpired if it cannot serve the records, and the error of ctx if that ends
 // first.
 func (s *Subscriber) RecordsFrom(ctx context.Context, from Position, wait time.Duration) (Page, time.Duration, error) {
-	page, verifiedAt, err := s.window.recordsFrom(ctx, from.Offset, wait)
+	page, verifiedAt, err := s.window.recordsFrom(ctx, from, wait)
 	return page, s.clock() - verifiedAt, err
 }
 
@@ -179,7 +179,7 @@
 }
 
 // CoversFrom reports whether RecordsFrom can serve the records from a position on.
-func (s *Subscriber) CoversFrom(from Position) bool { return s.window.coversFrom(from.Offset) }
+func (s *Subscriber) CoversFrom(from Position) bool { return s.window.coversFrom(from) }
 
 // Run follows the topic until ctx ends, and returns the error of ctx.
 func (s *Subscriber) Run(ctx context.Context) error {
@@ -299,19 +299,19 @@
 // applyPage passes the records of a page to the handler. If the page reaches
 // the end of the topic, every record appended before verifiedAt has been read.
 func (s *Subscriber) applyPage(page Page, verifiedAt time.Duration) {
-	s.setNext(Position{Epoch: page.Epoch, Offset: page.Next})
+	next := s.setNext(Position{Epoch: page.Epoch, Offset: page.Next})
 	for _, err := range page.Invalid {
 		s.logger.Warn("invalid record in topic", "topic", s.name, "error", err)
 	}
 	if len(page.Records) > 0 {
-		s.handle(Change{Records: page.Records, Next: page.Next, Epoch: page.Epoch})
+		s.handle(Change{Records: page.Records, Next: next.Offset, Epoch: next.Epoch})
 	}
 	atEnd := page.Next >= page.End
 	s.recordVerifiedRead(verifiedAt, atEnd)
 	if atEnd {
-		s.window.appendRecords(page.Records, page.Next, verifiedAt)
+		s.window.appendRecords(page.Records, next, verifiedAt)
 	} else {
-		s.window.skipTo(page.Records, page.Next, verifiedAt)
+		s.window.skipTo(page.Records, next, verifiedAt)
 	}
 }
 
@@ -381,10 +381,13 @@
 	return s.source.Read(ctx, s.nextOffset, 0)
 }
 
-func (s *Subscriber) setNext(next Position) {
+// setNext sets the position of the next read and returns it. Its epoch stays if the response
+// named none, as those of daemons of an earlier version do.
+func (s *Subscriber) setNext(next Position) Position {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.nextOffset, s.epoch = next.Offset, next.Epoch
+	s.nextOffset, s.epoch = next.Offset, max(s.epoch, next.Epoch)
+	return Position{Epoch: s.epoch, Offset: s.nextOffset}
 }
 
 // Next returns the position after the last record that was handled.
--- a/internal/subscriber/window.go
+++ b/internal/subscriber/window.go
@@ -43,10 +43,10 @@
 	newest  map[string]Record
 	records []Record
 	bytes   int
-	// firstOffset is the offset of the first buffered record, nextOffset the offset
-	// after the last one.
+	// firstOffset is the offset of the first buffered record, next the position after the
+	// last one. All buffered records are of its epoch.
 	firstOffset int64
-	nextOffset  int64
+	next        Position
 	// loaded is set while the topic is followed and has been read, hasNewest once it has
 	// been read.
 	loaded     bool
@@ -63,11 +63,11 @@
 }
 
 // load replaces the content by the newest records of all keys.
-func (w *window) load(records []Record, nextOffset int64, verifiedAt time.Duration) {
+func (w *window) load(records []Record, next Position, verifiedAt time.Duration) {
 	w.update(func() {
 		clear(w.newest)
 		w.addNewest(records)
-		w.empty(nextOffset, verifiedAt)
+		w.empty(next, verifiedAt)
 	})
 }
 
@@ -82,13 +82,12 @@
 	}
 }
 
-// empty drops the buffered records, so that they begin at nextOffset. The caller
-// holds the mutex.
-func (w *window) empty(nextOffset int64, verifiedAt time.Duration) {
+// empty drops the buffered records, so that they begin at next. The caller holds the mutex.
+func (w *window) empty(next Position, verifiedAt time.Duration) {
 	w.records = nil
 	w.bytes = 0
-	w.firstOffset = nextOffset
-	w.nextOffset = nextOffset
+	w.firstOffset = next.Offset
+	w.next = next
 	w.loaded = true
 	w.hasNewest = true
 	w.failing = false
@@ -97,24 +96,24 @@
 
 // skipTo records a page that did not reach the end of the topic. The window serves
 // no records until one does.
-func (w *window) skipTo(records []Record, nextOffset int64, verifiedAt time.Duration) {
+func (w *window) skipTo(records []Record, next Position, verifiedAt time.Duration) {
 	w.update(func() {
 		w.addNewest(records)
-		w.empty(nextOffset, verifiedAt)
+		w.empty(next, verifiedAt)
 		w.failing, w.silent = true, false
 	})
 }
 
 // appendRecords adds the records of a page that reached the end of the topic.
 // Everything appended before verifiedAt has been read.
-func (w *window) appendRecords(records []Record, nextOffset int64, verifiedAt time.Duration) {
+func (w *window) appendRecords(records []Record, next Position, verifiedAt time.Duration) {
 	w.update(func() {
 		w.addNewest(records)
 		for _, record := range records {
 			w.records = append(w.records, record)
 			w.bytes += len(record.Value)
 		}
-		w.nextOffset = nextOffset
+		w.next = next
 		w.loaded = true
 		w.failing = false
 		w.verifiedAt = max(w.verifiedAt, verifiedAt)
@@ -133,7 +132,7 @@
 		return
 	}
 	w.records = append([]Record(nil), w.records[drop:]...)
-	w.firstOffset = w.nextOffset
+	w.firstOffset = w.next.Offset
 	if len(w.records) > 0 {
 		w.firstOffset = w.records[0].Offset
 	}
@@ -157,11 +156,11 @@
 	w.changed = make(chan struct{})
 }
 
-// recordsFrom returns the records from an offset on, and the time of the last
+// recordsFrom returns the records from a position on, and the time of the last
 // verified read. It waits until there are records, a newer verified read, or the
 // wait is over. While reads of the log fail it returns ErrFailing after failingGrace, or at
 // once if they get no response.
-func (w *window) recordsFrom(ctx context.Context, from int64, wait time.Duration) (Page, time.Duration, error) {
+func (w *window) recordsFrom(ctx context.Context, from Position, wait time.Duration) (Page, time.Duration, error) {
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	var firstVerifiedAt time.Duration
@@ -198,12 +197,14 @@
 	}
 }
 
-// currentPage returns the buffered records from an offset on without waiting,
-// and a channel that is closed by the next update.
-func (w *window) currentPage(from int64) (page Page, verifiedAt time.Duration, changed <-chan struct{}, err error) {
+// currentPage returns the buffered records from a position on without waiting,
+// and a channel that is closed by the next update. From a position of an older epoch on, no
+// records are known; those of a newer one have not been read.
+func (w *window) currentPage(from Position) (page Page, verifiedAt time.Duration, changed <-chan struct{}, err error) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	page = Page{Next: max(from, w.nextOffset), End: max(from, w.nextOffset)}
+	end := max(from.Offset, w.next.Offset)
+	page = Page{Next: end, End: end, Epoch: w.next.Epoch}
 	switch {
 	case !w.loaded:
 		return page, 0, w.changed, ErrUnread
@@ -211,10 +212,12 @@
 		return page, 0, w.changed, errSilent
 	case w.failing:
 		return page, 0, w.changed, ErrFailing
-	case from < w.firstOffset:
+	case w.next.Epoch.before(from.Epoch):
+		return page, 0, w.changed, ErrUnread
+	case from.Epoch.before(w.next.Epoch), from.Offset < w.firstOffset:
 		return page, 0, w.changed, ErrExpired
 	}
-	page.Records, page.Next = w.recordsWithin(from, page.Next)
+	page.Records, page.Next = w.recordsWithin(from.Offset, page.Next)
 	return page, w.verifiedAt, w.changed, nil
 }
 
@@ -268,12 +271,12 @@
 		return Snapshot{}, w.changed, ErrFailing
 	}
 	records := slices.SortedFunc(maps.Values(w.newest), func(a, b Record) int { return cmp.Compare(a.Offset, b.Offset) })
-	return Snapshot{Records: records, Next: Position{Offset: w.nextOffset}, VerifiedAt: w.verifiedAt}, w.changed, nil
+	return Snapshot{Records: records, Next: w.next, VerifiedAt: w.verifiedAt}, w.changed, nil
 }
 
-// coversFrom reports whether the buffered records begin at the offset or before.
-func (w *window) coversFrom(offset int64) bool {
+// coversFrom reports whether the buffered records begin at the position or before.
+func (w *window) coversFrom(from Position) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return w.loaded && !w.failing && offset >= w.firstOffset
+	return w.loaded && !w.failing && from.Epoch == w.next.Epoch && from.Offset >= w.firstOffset
 }
