Keep what is known when the log comes back from an older copy

Cause: after a restore of the log, a daemon read all keys again and took them as they stood: older records and missing keys replaced newer knowledge until operators and endpoints had written again.

Change: the first read of all keys in a new epoch is merged with what is known. The first read of an epoch counts as the end of an outage.

Why it works: a record that was read and replaced before can only come back from the copy, so it is older than what is known; a record that was not read is newer or was written again.

--- a/internal/subscriber/freshness.go
+++ b/internal/subscriber/freshness.go
@@ -22,7 +22,8 @@
 }
 
 // SinceOutage returns the time since reads succeed again, and zero while they
-// fail. It returns false if no read has failed.
+// fail. It returns false if no read has failed. The first read of an epoch counts as the end of a
+// failure.
 func (s *Subscriber) SinceOutage() (elapsed time.Duration, ok bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -32,6 +33,14 @@
 	return s.clock() - s.recoveredAt, s.hasRecovered
 }
 
+// endOutage counts this moment as the end of an outage: after a restore of the log, as after an
+// outage, endpoints write their registrations again.
+func (s *Subscriber) endOutage() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.recoveredAt, s.hasRecovered = s.clock(), true
+}
+
 func (s *Subscriber) isFailing() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -61,8 +70,7 @@
 		s.logger.Warn("cannot read topic from the log", "topic", s.name, "error", err, "proof_age", noter.FormatDuration(s.clock()-s.verifiedAt))
 		return true
 	}
-	s.recoveredAt = s.clock()
-	s.hasRecovered = true
+	s.recoveredAt, s.hasRecovered = s.clock(), true
 	s.logger.Info("reads of topic succeed again", "topic", s.name, "offset", s.nextOffset)
 	return false
 }
--- a/internal/subscriber/newest.go
+++ b/internal/subscriber/newest.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -62,12 +63,72 @@
 	return s.checkEpoch(snapshot.Next.Epoch)
 }
 
-// applyNewest passes the newest records of all keys to the handler. Every record
-// appended before verifiedAt has been read.
+// applyNewest applies the newest records of all keys. Every record appended before verifiedAt has
+// been read. After a restore of the log they are merged with what is known until the hold is over.
 func (s *Subscriber) applyNewest(snapshot Snapshot, verifiedAt time.Duration) {
-	next := s.setNext(snapshot.Next)
+	from := s.Next()
+	isRestored := from.Epoch.before(snapshot.Next.Epoch)
+	snapshot.Next.Epoch = max(from.Epoch, snapshot.Next.Epoch)
+	stampEpoch(snapshot.Records, snapshot.Next.Epoch)
 	s.initialised = true
-	s.handle(Change{Complete: true, Records: snapshot.Records, Next: next.Offset, Epoch: next.Epoch})
+	lost := lostKeys(snapshot.Records, snapshot.Next.Epoch)
+	switch {
+	case !s.hasRead:
+		s.loadNewest(snapshot, verifiedAt)
+		s.takeLost(snapshot.Next, lost)
+	case isRestored || s.holds() || !s.isHolding() && len(lost) > 0:
+		s.mergeNewest(from, snapshot, verifiedAt)
+	case len(lost) > 0:
+		// The log counts from now on, but the peer does not show it yet.
+		s.holdUntil = s.clock() + holdRetry
+	default:
+		s.loadNewest(snapshot, verifiedAt)
+		s.endHold()
+	}
+}
+
+// stampEpoch sets the epoch of records that have none.
+func stampEpoch(records []Record, epoch Epoch) {
+	for i := range records {
+		if records[i].Epoch == 0 {
+			records[i].Epoch = epoch
+		}
+	}
+}
+
+// loadNewest passes the newest records of all keys to the handler, in place of all that was known.
+func (s *Subscriber) loadNewest(snapshot Snapshot, verifiedAt time.Duration) {
+	s.hasRead = true
+	s.setNext(snapshot.Next)
+	// A peer's snapshot holds deletions that the log has lost.
+	records := slices.DeleteFunc(slices.Clone(snapshot.Records), func(record Record) bool { return len(record.Value) == 0 })
+	s.handle(Change{Complete: true, Records: records, Next: snapshot.Next.Offset, Epoch: snapshot.Next.Epoch})
 	s.recordVerifiedRead(verifiedAt, true)
-	s.window.load(snapshot.Records, next, verifiedAt)
+	s.window.load(byKey(snapshot.Records), snapshot.Next, verifiedAt)
+}
+
+// mergeNewest passes what is new in the newest records of all keys to the handler.
+func (s *Subscriber) mergeNewest(from Position, snapshot Snapshot, verifiedAt time.Duration) {
+	merged := s.window.merge(snapshot)
+	s.setNext(snapshot.Next)
+	isRestored := from.Epoch != snapshot.Next.Epoch
+	if isRestored {
+		s.logger.Info("log was restored from an older copy; what it has lost stays for a while", "topic", s.name, "epoch", uint64(snapshot.Next.Epoch), "epoch_before", uint64(from.Epoch),
+			"offset", snapshot.Next.Offset, "offset_before", from.Offset, "new", len(merged.changed), "lost", len(merged.lost))
+		s.endOutage()
+	}
+	s.setLost(merged.lost, isRestored)
+	s.handle(Change{Records: merged.changed, Next: snapshot.Next.Offset, Epoch: snapshot.Next.Epoch, Lost: merged.lost})
+	s.recordVerifiedRead(verifiedAt, true)
+	s.window.load(merged.newest, snapshot.Next, verifiedAt)
+}
+
+// takeLost begins the hold of a daemon that starts and gets from its peer what the log has lost.
+func (s *Subscriber) takeLost(next Position, lost []string) {
+	if len(lost) == 0 {
+		return
+	}
+	s.endOutage()
+	s.setLost(lost, true)
+	s.handle(Change{Next: next.Offset, Epoch: next.Epoch, Lost: lost})
 }
--- a/internal/subscriber/subscriber.go
+++ b/internal/subscriber/subscriber.go
@@ -7,6 +7,7 @@
 	"context"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -64,6 +65,13 @@
 	// initialised is set once all keys have been read and nextOffset is valid. Only
 	// Run uses it.
 	initialised bool
+	// hasRead is set once all keys have been read for the first time. Only Run uses it.
+	hasRead bool
+	// lost holds the keys of which the log has lost the newest record in a restore, holdUntil
+	// is when the log counts as it stands for them, or 0 if there are none. Only Run uses them.
+	lost      map[string]bool
+	holdUntil time.Duration
+	lostCount atomic.Int64
 	// onSilence is called when reads begin to fail because no response comes. It is nil if
 	// there is nothing to do.
 	onSilence func()
@@ -228,7 +236,7 @@
 // readOnce makes one read. It reports whether records were received that should
 // be followed by the batch delay.
 func (s *Subscriber) readOnce(ctx context.Context) (received bool, err error) {
-	if !s.initialised {
+	if !s.initialised || s.isHolding() && !s.holds() {
 		return true, s.readNewest(ctx)
 	}
 	if s.readPeer(ctx) {
@@ -241,6 +249,9 @@
 		// that it becomes a verified read at once.
 		wait = 0
 	}
+	if s.isHolding() {
+		wait = min(wait, s.holdUntil-s.clock())
+	}
 	s.afterPeer = false
 	page, waited, err := s.readSource(ctx, wait)
 	if errors.Is(err, ErrExpired) {
@@ -322,6 +333,8 @@
 	for _, err := range page.Invalid {
 		s.logger.Warn("invalid record in topic", "topic", s.name, "error", err)
 	}
+	stampEpoch(page.Records, next.Epoch)
+	s.recordRewritten(page.Records)
 	if len(page.Records) > 0 {
 		s.handle(Change{Records: page.Records, Next: next.Offset, Epoch: next.Epoch})
 	}
--- a/internal/subscriber/window.go
+++ b/internal/subscriber/window.go
@@ -39,8 +39,11 @@
 // together with the time of the last verified read. It is safe for concurrent use.
 type window struct {
 	mu sync.Mutex
-	// newest holds the newest record of each key, without deleted keys.
-	newest  map[string]Record
+	// newest holds the newest record of each key, without deleted keys. A record without a value
+	// is a deletion that the log has lost in a restore.
+	newest map[string]Record
+	// past holds records that newest held before.
+	past    past
 	records []Record
 	bytes   int
 	// firstOffset is the offset of the first buffered record, next the position after the
@@ -63,17 +66,33 @@
 }
 
 // load replaces the content by the newest records of all keys.
-func (w *window) load(records []Record, next Position, verifiedAt time.Duration) {
+func (w *window) load(newest map[string]Record, next Position, verifiedAt time.Duration) {
 	w.update(func() {
-		clear(w.newest)
-		w.addNewest(records)
+		for key, record := range w.newest {
+			if current, found := newest[key]; !found || identify(current) != identify(record) {
+				w.past.add(record)
+			}
+		}
+		w.newest = newest
 		w.empty(next, verifiedAt)
 	})
 }
 
+// byKey returns the records by their keys.
+func byKey(records []Record) map[string]Record {
+	newest := map[string]Record{}
+	for _, record := range records {
+		newest[record.Key] = record
+	}
+	return newest
+}
+
 // addNewest updates the newest records of their keys. The caller holds the mutex.
 func (w *window) addNewest(records []Record) {
 	for _, record := range records {
+		if replaced, found := w.newest[record.Key]; found {
+			w.past.add(replaced)
+		}
 		if len(record.Value) == 0 {
 			delete(w.newest, record.Key)
 			continue
@@ -82,6 +101,13 @@
 	}
 }
 
+// merge merges a snapshot with what is known. Only the one that changes the window may call it.
+func (w *window) merge(snapshot Snapshot) mergeResult {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return merge(w.newest, &w.past, w.next, snapshot)
+}
+
 // empty drops the buffered records, so that they begin at next. The caller holds the mutex.
 func (w *window) empty(next Position, verifiedAt time.Duration) {
 	w.records = nil
