--- a/internal/subscriber/subscriber.go
+++ b/internal/subscriber/subscriber.go
@@ -6,8 +6,8 @@
 import (
 	"context"
 	"math/rand/v2"
-	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -16,71 +16,6 @@
 	"quetzalgrade.example/quetzalgrade/internal/noter"
 )
 
-// ErrExpired is returned by a source when retention has removed the records at
-// the requested offset.
-var ErrExpired = errors.New("records at the requested offset have expired")
-
-// ErrOffsetConflict is returned by a conditional append when the topic does not
-// end at the expected offset.
-var ErrOffsetConflict = errors.New("topic does not end at the expected offset")
-
-// Record is one record of a topic. An empty value deletes its key.
-type Record struct {
-	Key    string
-	Value  []byte
-	Offset int64
-}
-
-// Page is the result of one read.
-type Page struct {
-	Records []Record
-	// Invalid says what is wrong with records that have no key and are left out.
-	Invalid []error
-	// Next is the offset after the last record of the page. End is the offset that
-	// the next append will get.
-	Next int64
-	End  int64
-}
-
-// Source reads one topic of keyed records.
-type Source interface {
-	// Newest returns the newest record of each key, and the offset from which Read
-	// returns all newer records.
-	Newest(ctx context.Context) ([]Record, int64, error)
-	// Read returns the records from an offset on. If there are none, it waits for
-	// one for at most the given time. It returns ErrExpired if the records have
-	// been removed.
-	Read(ctx context.Context, from int64, wait time.Duration) (Page, error)
-}
-
-// Peer is another daemon that has read the topic.
-type Peer interface {
-	// Newest returns the newest record of each key, the offset from which Read returns
-	// all newer records, and the lag as Read does.
-	Newest(ctx context.Context, topic string) (records []Record, next int64, lag time.Duration, err error)
-	// Read returns the records from an offset on, and how long before this call
-	// the peer's last verified read was sent. The lag is negative if that read was
-	// sent after the call. The end of the page is the offset after the last record that
-	// the peer has read. It returns ErrExpired if the peer no longer has the records, and
-	// ErrUnread if it does not follow the topic now.
-	Read(ctx context.Context, topic string, from int64) (page Page, lag time.Duration, err error)
-}
-
-// ErrNoPeer is returned by a Peer when there is no daemon to read from.
-var ErrNoPeer = errors.New("no peer to read the topic from")
-
-// Change is passed to the handler of a subscriber.
-type Change struct {
-	// Complete is set when Records holds every record of the topic, so that all
-	// other keys have been deleted.
-	Complete bool
-	Records  []Record
-	// Next is the offset up to which the change reaches: every record before it is in this
-	// change or an earlier one, or has been replaced. It may be lower than that of an earlier
-	// change, because a peer may have read less.
-	Next int64
-}
-
 // Clock returns the time since a fixed moment. It keeps counting while the host
 // is suspended.
 type Clock func() time.Duration
@@ -130,13 +65,21 @@
 	// initialised is set once all keys have been read and nextOffset is valid. Only
 	// Run uses it.
 	initialised bool
+	// hasRead is set once all keys have been read for the first time. Only Run uses it.
+	hasRead bool
+	// lost holds the keys of which the log has lost the newest record in a restore, holdUntil
+	// is when the log counts as it stands for them, or 0 if there are none. Only Run uses them.
+	lost      map[string]bool
+	holdUntil time.Duration
+	lostCount atomic.Int64
 	// onSilence is called when reads begin to fail because no response comes. It is nil if
 	// there is nothing to do.
 	onSilence func()
 
 	mu sync.Mutex
-	// nextOffset is the offset of the next read.
+	// nextOffset is the offset of the next read, epoch that of the log.
 	nextOffset int64
+	epoch      Epoch
 	// verifiedAt is the time of the last verified read: everything appended before
 	// it has been read. It is valid if verified is set.
 	verifiedAt time.Duration
@@ -225,12 +168,12 @@
 // Name returns the name of the topic.
 func (s *Subscriber) Name() string { return s.name }
 
-// RecordsFrom returns the records that the subscriber has read from an offset
+// RecordsFrom returns the records that the subscriber has read from a position
 // on, and the age of its last verified read. It waits until there are records,
 // a newer verified read, or the wait is over. It returns ErrUnread, ErrFailing
 // or ErrExpired if it cannot serve the records, and the error of ctx if that ends
 // first.
-func (s *Subscriber) RecordsFrom(ctx context.Context, from int64, wait time.Duration) (Page, time.Duration, error) {
+func (s *Subscriber) RecordsFrom(ctx context.Context, from Position, wait time.Duration) (Page, time.Duration, error) {
 	page, verifiedAt, err := s.window.recordsFrom(ctx, from, wait)
 	return page, s.clock() - verifiedAt, err
 }
@@ -243,8 +186,8 @@
 	return s.window.snapshot(ctx, wait)
 }
 
-// CoversFrom reports whether RecordsFrom can serve the records from an offset on.
-func (s *Subscriber) CoversFrom(offset int64) bool { return s.window.coversFrom(offset) }
+// CoversFrom reports whether RecordsFrom can serve the records from a position on.
+func (s *Subscriber) CoversFrom(from Position) bool { return s.window.coversFrom(from) }
 
 // Run follows the topic until ctx ends, and returns the error of ctx.
 func (s *Subscriber) Run(ctx context.Context) error {
@@ -293,7 +236,7 @@
 // readOnce makes one read. It reports whether records were received that should
 // be followed by the batch delay.
 func (s *Subscriber) readOnce(ctx context.Context) (received bool, err error) {
-	if !s.initialised {
+	if !s.initialised || s.isHolding() && !s.holds() {
 		return true, s.readNewest(ctx)
 	}
 	if s.readPeer(ctx) {
@@ -306,6 +249,9 @@
 		// that it becomes a verified read at once.
 		wait = 0
 	}
+	if s.isHolding() {
+		wait = min(wait, s.holdUntil-s.clock())
+	}
 	s.afterPeer = false
 	page, waited, err := s.readSource(ctx, wait)
 	if errors.Is(err, ErrExpired) {
@@ -313,6 +259,13 @@
 		s.initialised = false
 		return false, nil
 	}
+	if err == nil {
+		err = s.checkEpoch(page.Epoch)
+	}
+	if errors.Is(err, errRestored) {
+		s.initialised = false
+		return false, nil
+	}
 	if err != nil {
 		return false, err
 	}
@@ -332,20 +285,18 @@
 		return false
 	}
 	sentAt := s.clock()
-	page, lag, err := s.peer.Read(ctx, s.name, s.NextOffset())
-	switch {
-	case errors.Is(err, ErrExpired):
-		// The peer has all keys, but no longer the records since this offset.
+	page, lag, err := s.peer.Read(ctx, s.name, s.Next())
+	if err == nil {
+		err = s.checkEpoch(page.Epoch)
+	}
+	if errors.Is(err, ErrExpired) || errors.Is(err, errRestored) {
+		// The peer has all keys, but no longer the records since this position.
 		s.initialised = false
 		return true
-	case errors.Is(err, ErrUnread) && s.unreadCount < maxUnread:
-		// The peer has just started, or follows the topic a moment later or shorter
-		// than this daemon.
-		s.unreadCount++
-		sleep(ctx, unreadPause)
+	}
+	if s.awaitPeer(ctx, err) {
 		return true
 	}
-	s.unreadCount = 0
 	if err != nil {
 		if !errors.Is(err, ErrNoPeer) {
 			s.logger.Debug("cannot read topic from peer; reading the log", "topic", s.name, "error", err)
@@ -361,22 +312,38 @@
 	return true
 }
 
+// awaitPeer pauses if the peer is not ready: it has just started, follows the topic a moment later
+// or shorter than this daemon, or does not know yet that the log was restored. It returns false if
+// the peer is ready, has failed or was not ready too often.
+func (s *Subscriber) awaitPeer(ctx context.Context, err error) bool {
+	isUnready := errors.Is(err, ErrUnread) || errors.Is(err, errBeforeRestore)
+	if !isUnready || s.unreadCount >= maxUnread {
+		s.unreadCount = 0
+		return false
+	}
+	s.unreadCount++
+	sleep(ctx, unreadPause)
+	return true
+}
+
 // applyPage passes the records of a page to the handler. If the page reaches
 // the end of the topic, every record appended before verifiedAt has been read.
 func (s *Subscriber) applyPage(page Page, verifiedAt time.Duration) {
-	s.setNextOffset(page.Next)
+	next := s.setNext(Position{Epoch: page.Epoch, Offset: page.Next})
 	for _, err := range page.Invalid {
 		s.logger.Warn("invalid record in topic", "topic", s.name, "error", err)
 	}
+	stampEpoch(page.Records, next.Epoch)
+	s.recordRewritten(page.Records)
 	if len(page.Records) > 0 {
-		s.handle(Change{Records: page.Records, Next: page.Next})
+		s.handle(Change{Records: page.Records, Next: next.Offset, Epoch: next.Epoch})
 	}
 	atEnd := page.Next >= page.End
 	s.recordVerifiedRead(verifiedAt, atEnd)
 	if atEnd {
-		s.window.appendRecords(page.Records, page.Next, verifiedAt)
+		s.window.appendRecords(page.Records, next, verifiedAt)
 	} else {
-		s.window.skipTo(page.Records, page.Next, verifiedAt)
+		s.window.skipTo(page.Records, next, verifiedAt)
 	}
 }
 
@@ -409,7 +376,8 @@
 }
 
 // readConfirmed makes a read that waits, and a second one that does not while the first one
-// waits. If the second one has records or gets no response, it ends the first one, by cancel.
+// waits. If the second one has records, is of another epoch or gets no response, it ends the first
+// one, by cancel.
 func (s *Subscriber) readConfirmed(ctx context.Context, cancel context.CancelFunc, wait time.Duration) (page Page, waited bool, err error) {
 	done := make(chan struct{})
 	go func() {
@@ -425,7 +393,7 @@
 	}
 	confirmSentAt := s.clock()
 	confirmed, confirmErr := s.confirm(ctx)
-	if isSilence(confirmErr) || len(confirmed.Records) > 0 {
+	if isSilence(confirmErr) || len(confirmed.Records) > 0 || confirmErr == nil && s.checkEpoch(confirmed.Epoch) != nil {
 		cancel()
 		<-done
 		return confirmed, false, confirmErr
@@ -446,143 +414,18 @@
 	return s.source.Read(ctx, s.nextOffset, 0)
 }
 
-func (s *Subscriber) setNextOffset(next int64) {
+// setNext sets the position of the next read and returns it. Its epoch stays if the response
+// named none, as those of daemons of an earlier version do.
+func (s *Subscriber) setNext(next Position) Position {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.nextOffset = next
+	s.nextOffset, s.epoch = next.Offset, max(s.epoch, next.Epoch)
+	return Position{Epoch: s.epoch, Offset: s.nextOffset}
 }
 
-// NextOffset returns the offset after the last record that was handled.
-func (s *Subscriber) NextOffset() int64 {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.nextOffset
-}
-
-// readNewest reads the newest record of every key, from the peer if it has them.
-func (s *Subscriber) readNewest(ctx context.Context) error {
-	if s.readPeerNewest(ctx) {
-		return nil
-	}
-	sentAt := s.clock()
-	bounded, cancel := context.WithTimeout(ctx, newestTimeout)
-	defer cancel()
-	items, next, err := s.source.Newest(bounded)
-	if err != nil {
-		return err
-	}
-	s.applyNewest(items, next, sentAt)
-	return nil
-}
-
-// readPeerNewest applies the newest records from the peer. It returns false if the
-// log must be read instead.
-func (s *Subscriber) readPeerNewest(ctx context.Context) (ok bool) {
-	if s.peer == nil {
-		return false
-	}
-	sentAt := s.clock()
-	records, next, lag, err := s.peer.Newest(ctx, s.name)
-	if err != nil {
-		if !errors.Is(err, ErrNoPeer) {
-			s.logger.Debug("cannot read all keys from peer; reading the log", "topic", s.name, "error", err)
-		}
-		return false
-	}
-	s.applyNewest(records, next, sentAt-lag)
-	s.afterPeer = true
-	return true
-}
-
-// applyNewest passes the newest records of all keys to the handler. Every record
-// appended before verifiedAt has been read.
-func (s *Subscriber) applyNewest(records []Record, next int64, verifiedAt time.Duration) {
-	s.setNextOffset(next)
-	s.initialised = true
-	s.handle(Change{Complete: true, Records: records, Next: next})
-	s.recordVerifiedRead(verifiedAt, true)
-	s.window.load(records, next, verifiedAt)
-}
-
-// recordVerifiedRead records that everything appended before sentAt has been
-// read, if the read reached the end of the topic.
-func (s *Subscriber) recordVerifiedRead(sentAt time.Duration, atEnd bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if atEnd {
-		// A peer's verified read may be older than one of this daemon's own.
-		s.verifiedAt = max(s.verifiedAt, sentAt)
-		s.verified = true
-	}
-}
-
-// SinceOutage returns the time since reads succeed again, and zero while they
-// fail. It returns false if no read has failed.
-func (s *Subscriber) SinceOutage() (elapsed time.Duration, ok bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.failing {
-		return 0, true
-	}
-	return s.clock() - s.recoveredAt, s.hasRecovered
-}
-
-func (s *Subscriber) isFailing() bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.failing
-}
-
-// recordResult records the result of a read. It logs when reads begin to fail
-// and when they succeed again.
-func (s *Subscriber) recordResult(err error) {
-	if s.updateFailing(err) && isSilence(err) && !errors.Is(err, errInterrupted) && s.onSilence != nil {
-		s.onSilence()
-	}
-}
-
-// updateFailing reports whether reads begin to fail.
-func (s *Subscriber) updateFailing(err error) (begins bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.reads++
-	failing := err != nil
-	if failing == s.failing {
-		return false
-	}
-	s.failing = failing
-	if failing {
-		s.window.markFailing(isSilence(err))
-		s.logger.Warn("cannot read topic from the log", "topic", s.name, "error", err, "proof_age", noter.FormatDuration(s.clock()-s.verifiedAt))
-		return true
-	}
-	s.recoveredAt = s.clock()
-	s.hasRecovered = true
-	s.logger.Info("reads of topic succeed again", "topic", s.name, "offset", s.nextOffset)
-	return false
-}
-
-// isSilence reports whether a read failed because no response came, so that the next one may
-// also take long to fail.
-func isSilence(err error) bool {
-	timeout, ok := errors.Into[net.Error](err)
-	return ok && timeout.Timeout() || errors.Is(err, errInterrupted)
-}
-
-// VerifiedAge returns the time since the last verified read. It returns false if
-// there has been none.
-func (s *Subscriber) VerifiedAge() (age time.Duration, ok bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.clock() - s.verifiedAt, s.verified
-}
-
-// Failing reports whether the latest read failed.
-func (s *Subscriber) Failing() bool { return s.isFailing() }
-
-// Reads returns the number of reads, including failed ones.
-func (s *Subscriber) Reads() uint64 {
+// Next returns the position after the last record that was handled.
+func (s *Subscriber) Next() Position {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.reads
+	return Position{Epoch: s.epoch, Offset: s.nextOffset}
 }
