Order evacuations by the log's epoch before their offsets

Cause: evacuations were ordered by offset alone. After the log has come back from an older copy, its offsets are lower than the one up to which the topic had been applied, so an evacuation or a withdrawal that an operator wrote again was ignored for good.

Change: a change of a later epoch starts the comparison anew, one of an earlier epoch is ignored. A zone whose record is lost stays evacuated; any record of it in the new epoch, and a complete change without it, are newer.

--- a/internal/runner/evacuations.go
+++ b/internal/runner/evacuations.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 
 	"quetzalgrade.example/quetzalgrade/internal/subscriber"
 )
@@ -11,8 +12,11 @@
 	// complete is set if records hold all evacuations, so that any other one is withdrawn.
 	complete bool
 	records  []evacuationRecord
-	// next is the offset up to which the change reaches.
-	next int64
+	// next is the offset up to which the change reaches, epoch that of the offsets.
+	next  int64
+	epoch subscriber.Epoch
+	// lost are the zones whose newest record the log has lost.
+	lost []string
 }
 
 // evacuationRecord evacuates a zone, or withdraws its evacuation.
@@ -23,9 +27,14 @@
 }
 
 // newEvacuationChange returns what a change of the operators' topic with the records says about
-// evacuations.
-func newEvacuationChange(change subscriber.Change, records []operatorRecord) evacuationChange {
-	evacuation := evacuationChange{complete: change.Complete, next: change.Next}
+// evacuations. lost are the keys that the log has lost, as records that withdraw them.
+func newEvacuationChange(change subscriber.Change, records, lost []operatorRecord) evacuationChange {
+	evacuation := evacuationChange{complete: change.Complete, next: change.Next, epoch: change.Epoch}
+	for _, record := range lost {
+		if record.ReturnedZone != "" {
+			evacuation.lost = append(evacuation.lost, record.ReturnedZone)
+		}
+	}
 	for _, record := range records {
 		switch {
 		case record.EvacuatedZone != "":
@@ -40,16 +49,25 @@
 // evacuations are the evacuated zones according to the newest records, in whatever order the
 // changes arrive.
 type evacuations struct {
-	// zones holds the offset of the record by which each zone is evacuated.
+	// zones holds the offset of the record by which each zone is evacuated, or lostOffset.
 	zones map[string]int64
-	// next is the highest offset up to which a change reached.
-	next int64
+	// next is the highest offset up to which a change reached, epoch that of the offsets.
+	next  int64
+	epoch subscriber.Epoch
 }
 
+// lostOffset is the offset of an evacuation whose record the log has lost. Any record of the
+// zone is newer.
+const lostOffset = -1
+
 func newEvacuations() evacuations { return evacuations{zones: map[string]int64{}} }
 
 // apply applies a change. It ignores what is older than an earlier change.
 func (e *evacuations) apply(change evacuationChange) {
+	if change.epoch != 0 && change.epoch < e.epoch {
+		return
+	}
+	e.enterEpoch(change)
 	applied := e.next
 	e.next = max(e.next, change.next)
 	if change.complete && change.next >= applied {
@@ -69,9 +87,26 @@
 	}
 }
 
+// enterEpoch begins to compare offsets anew if the change is of a later epoch. The offsets of
+// the records that the log still holds are the same in it.
+func (e *evacuations) enterEpoch(change evacuationChange) {
+	if change.epoch <= e.epoch {
+		return
+	}
+	if e.epoch != 0 {
+		e.next = 0
+		for zone := range e.zones {
+			if change.complete || slices.Contains(change.lost, zone) {
+				e.zones[zone] = lostOffset
+			}
+		}
+	}
+	e.epoch = change.epoch
+}
+
 // applyEvacuations applies a change of the evacuated zones to the tracker, and logs it.
 func (r *Runner) applyEvacuations(change evacuationChange) {
-	if !change.complete && len(change.records) == 0 {
+	if !change.complete && len(change.records) == 0 && len(change.lost) == 0 && change.epoch == r.operatorState.Snapshot().epoch {
 		return
 	}
 	before := r.operatorState.Snapshot().evacuated
--- a/internal/runner/evacuations_test.go
+++ b/internal/runner/evacuations_test.go
@@ -3,6 +3,8 @@
 import (
 	"maps"
 	"testing"
+
+	"quetzalgrade.example/quetzalgrade/internal/subscriber"
 )
 
 // TestEvacuationsInAnyOrder guards against an evacuation that is lost, or comes back after its
@@ -50,3 +52,52 @@
 		})
 	}
 }
+
+// TestEvacuationsAfterRestoreOfLog guards against an evacuation, or a withdrawal, that is ignored
+// because it is written again at a lower offset after the log has lost it, and against an
+// evacuation that ends because the log has lost its record.
+func TestEvacuationsAfterRestoreOfLog(t *testing.T) {
+	evacuate := func(zone string, offset int64) evacuationRecord { return evacuationRecord{zone, true, offset} }
+	withdraw := func(zone string, offset int64) evacuationRecord { return evacuationRecord{zone, false, offset} }
+	page := func(epoch subscriber.Epoch, next int64, records ...evacuationRecord) evacuationChange {
+		return evacuationChange{records: records, next: next, epoch: epoch}
+	}
+	complete := func(epoch subscriber.Epoch, next int64, records ...evacuationRecord) evacuationChange {
+		return evacuationChange{complete: true, records: records, next: next, epoch: epoch}
+	}
+	merged := func(epoch subscriber.Epoch, next int64, lost ...string) evacuationChange {
+		return evacuationChange{next: next, epoch: epoch, lost: lost}
+	}
+	rows := map[string]struct {
+		changes []evacuationChange
+		want    map[string]int64
+	}{
+		"lost":                               {[]evacuationChange{page(1, 9, evacuate("a", 8)), merged(2, 4, "a")}, map[string]int64{"a": lostOffset}},
+		"lost and written again below":       {[]evacuationChange{page(1, 9, evacuate("a", 8)), merged(2, 4, "a"), page(2, 5, evacuate("a", 4))}, map[string]int64{"a": 4}},
+		"lost and written again above":       {[]evacuationChange{page(1, 9, evacuate("a", 8)), merged(2, 4, "a"), page(2, 21, evacuate("a", 20))}, map[string]int64{"a": 20}},
+		"lost and withdrawn":                 {[]evacuationChange{page(1, 9, evacuate("a", 8)), merged(2, 4, "a"), page(2, 5, withdraw("a", 4))}, nil},
+		"lost and never written again":       {[]evacuationChange{page(1, 9, evacuate("a", 8)), merged(2, 4, "a"), complete(2, 4)}, nil},
+		"lost, a complete change of before":  {[]evacuationChange{page(1, 9, evacuate("a", 8)), merged(2, 4, "a"), complete(1, 9)}, map[string]int64{"a": lostOffset}},
+		"lost, another zone is evacuated":    {[]evacuationChange{page(1, 9, evacuate("a", 8)), merged(2, 4, "a"), page(2, 5, evacuate("b", 4))}, map[string]int64{"a": lostOffset, "b": 4}},
+		"lost twice":                         {[]evacuationChange{page(1, 9, evacuate("a", 8)), merged(2, 4, "a"), merged(3, 3, "a"), page(3, 4, withdraw("a", 3))}, nil},
+		"kept by the log and withdrawn":      {[]evacuationChange{page(1, 30, evacuate("a", 2)), merged(2, 4), page(2, 5, withdraw("a", 4))}, nil},
+		"kept by the log":                    {[]evacuationChange{page(1, 30, evacuate("a", 2)), merged(2, 4), complete(2, 4, evacuate("a", 2))}, map[string]int64{"a": 2}},
+		"withdrawn, then the restore":        {[]evacuationChange{page(1, 9, evacuate("a", 7), withdraw("a", 8)), merged(2, 8)}, nil},
+		"withdrawn, then evacuated below":    {[]evacuationChange{page(1, 9, evacuate("a", 7), withdraw("a", 8)), merged(2, 4), page(2, 5, evacuate("a", 4))}, map[string]int64{"a": 4}},
+		"a page of before the restore":       {[]evacuationChange{page(1, 9, evacuate("a", 8)), merged(2, 4, "a"), page(1, 10, withdraw("a", 9))}, map[string]int64{"a": lostOffset}},
+		"a page of the log without an epoch": {[]evacuationChange{page(2, 9, evacuate("a", 8)), page(0, 10, withdraw("a", 9))}, nil},
+		"the log begins to name its epoch":   {[]evacuationChange{page(0, 9, evacuate("a", 7), withdraw("a", 8)), page(1, 9, evacuate("a", 7))}, nil},
+		"complete change of the new epoch":   {[]evacuationChange{page(1, 9, evacuate("a", 8)), complete(2, 5, evacuate("b", 4))}, map[string]int64{"b": 4}},
+	}
+	for name, row := range rows {
+		t.Run(name, func(t *testing.T) {
+			state := newEvacuations()
+			for _, change := range row.changes {
+				state.apply(change)
+			}
+			if !maps.Equal(state.zones, row.want) {
+				t.Errorf("evacuated zones got %v, want %v", state.zones, row.want)
+			}
+		})
+	}
+}
--- a/internal/runner/follow.go
+++ b/internal/runner/follow.go
@@ -19,8 +19,9 @@
 // from the operators' topic. It logs and skips an invalid record.
 func (r *Runner) applyOperatorRecords(change subscriber.Change) {
 	records := r.decodeOperatorRecords(change.Records)
+	lost := r.decodeOperatorRecords(deletions(change.Lost))
 	// Evacuations come first, because the daemon serves requests from its first declaration on.
-	r.applyEvacuations(newEvacuationChange(change, records))
+	r.applyEvacuations(newEvacuationChange(change, records, lost))
 	for _, decoded := range records {
 		switch {
 		case decoded.Declaration != nil:
@@ -37,6 +38,15 @@
 	}
 }
 
+// deletions returns records that delete the keys. Their decoded form says what the keys are of.
+func deletions(keys []string) []subscriber.Record {
+	var records []subscriber.Record
+	for _, key := range keys {
+		records = append(records, subscriber.Record{Key: key})
+	}
+	return records
+}
+
 // decodeOperatorRecords decodes records of the operators' topic. It logs, counts and leaves out
 // the invalid ones.
 func (r *Runner) decodeOperatorRecords(records []subscriber.Record) []operatorRecord {
--- a/internal/runner/state.go
+++ b/internal/runner/state.go
@@ -5,6 +5,7 @@
 
 	"quetzalgrade.example/quetzalgrade/internal/matcher"
 	"quetzalgrade.example/quetzalgrade/internal/promoter"
+	"quetzalgrade.example/quetzalgrade/internal/subscriber"
 )
 
 // operatorState holds what operators have written. The keeper's actor owns it.
@@ -21,6 +22,8 @@
 	orders map[string]promoter.Order
 	// evacuated holds the evacuated zones, with the offsets of their records.
 	evacuated map[string]int64
+	// epoch is the log's epoch of these offsets.
+	epoch subscriber.Epoch
 }
 
 func newOperatorState() *operatorState {
@@ -34,7 +37,7 @@
 		return nil
 	}
 	s.changed = false
-	return &operatorSnapshot{table: s.table, orders: maps.Clone(s.orders), evacuated: maps.Clone(s.evacuations.zones)}
+	return &operatorSnapshot{table: s.table, orders: maps.Clone(s.orders), evacuated: maps.Clone(s.evacuations.zones), epoch: s.evacuations.epoch}
 }
 
 // setTable puts a declaration in force unless it is older than the current one or
