Let a rollout go on when its order is written again after the log lost it

Cause: an order was known by its offset alone. Written again at another offset, after the log had come back from an older copy, it began a new rollout: a version that was rolled back got sessions again. Another order at the offset of one that is gone was ignored. A withdrawn order that showed again began anew.

Change: an order is known by epoch, offset and content. The same content in a later epoch than that in which the log last held the order goes on with its rollout; in the same epoch it is a new order. A withdrawn order's rollout is kept, one for a service, and goes on if the log loses the withdrawal. The status names the duration of its order, too.

--- a/internal/promoter/promoter.go
+++ b/internal/promoter/promoter.go
@@ -14,8 +14,30 @@
 	// Duration is the time within which the rollout must end.
 	Duration time.Duration
 	// Offset is the log offset of the order, which distinguishes orders for the same
-	// version.
+	// version. Epoch is the log's epoch of the offset, or 0 if the log does not say.
 	Offset int64
+	Epoch  uint64
+}
+
+// Repeats reports whether the order is another one written again after the log had lost
+// it: it asks for the same, in a later epoch of the log.
+func (o Order) Repeats(other Order) bool {
+	sameContent := o.Service == other.Service && o.Target == other.Target && o.Duration == other.Duration
+	return sameContent && other.Epoch != 0 && o.Epoch > other.Epoch
+}
+
+// IsSameRecord reports whether both are the same record of the log. Offsets of an epoch are
+// given out once.
+func (o Order) IsSameRecord(other Order) bool {
+	return o.Offset == other.Offset && o.Epoch == other.Epoch
+}
+
+// PrecedesRecord reports whether the order's record is an older one than the other's.
+func (o Order) PrecedesRecord(other Order) bool {
+	if o.Epoch == 0 || other.Epoch == 0 {
+		return false
+	}
+	return o.Epoch < other.Epoch || o.Epoch == other.Epoch && o.Offset < other.Offset
 }
 
 // State is the progress of a rollout.
@@ -47,9 +69,11 @@
 type Status struct {
 	Service string
 	Target  string
-	// OrderOffset is the offset of the order.
-	OrderOffset int64
-	State       State
+	// OrderOffset is the offset of the order, OrderDuration its duration in whole
+	// milliseconds, or 0 if it is not known.
+	OrderOffset   int64
+	OrderDuration time.Duration
+	State         State
 	// Share is the share of the sessions that get the new version in a canary.
 	Share float64
 	// FirstSeen is the wall-clock time at which a daemon first saw the order.
@@ -61,12 +85,18 @@
 // StateOf returns the state of an order. It is Waiting if the status belongs to
 // another order.
 func (s Status) StateOf(order Order) State {
-	if s.OrderOffset != order.Offset || s.Target != order.Target {
+	if s.OrderOffset != order.Offset || !s.asksSameAs(order) {
 		return Waiting
 	}
 	return s.State
 }
 
+// asksSameAs reports whether the status is of an order with the same content, wherever in the
+// log that order is.
+func (s Status) asksSameAs(order Order) bool {
+	return s.Target == order.Target && (s.OrderDuration == 0 || s.OrderDuration == order.Duration.Truncate(time.Millisecond))
+}
+
 const (
 	// maxCanaryShare is the largest share of the sessions that get the new version at
 	// first. It stays well under the exposure that operators allow.
--- a/internal/runner/follow.go
+++ b/internal/runner/follow.go
@@ -22,6 +22,7 @@
 	lost := r.decodeOperatorRecords(deletions(change.Lost))
 	// Evacuations come first, because the daemon serves requests from its first declaration on.
 	r.applyEvacuations(newEvacuationChange(change, records, lost))
+	r.rollouts.enterEpoch(change, records, lost)
 	for _, decoded := range records {
 		switch {
 		case decoded.Declaration != nil:
--- /dev/null
+++ b/internal/runner/orders_test.go
@@ -0,0 +1,133 @@
+package runner
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"quetzalgrade.example/quetzalgrade/internal/promoter"
+	"quetzalgrade.example/quetzalgrade/internal/subscriber"
+	"quetzalgrade.example/quetzalgrade/internal/tracker"
+)
+
+// newTestManager returns a manager without a daemon, whose clock is at now.
+func newTestManager(now *time.Duration) *rolloutManager {
+	r := &Runner{logger: hclog.NewNullLogger()}
+	r.settings.Store(&Settings{Name: "entry-1", ExposureShare: 0.15, SessionTimeout: time.Second})
+	r.deps.Clock = func() time.Duration { return *now }
+	r.tracker = tracker.New("ouse", rand.New(rand.NewPCG(1, 2)), time.Now, r.logger)
+	return newRolloutManager(r)
+}
+
+// ordered returns a change of the operators' topic in an epoch, which has lost the orders of some
+// services, as the manager gets it.
+func ordered(epoch subscriber.Epoch, lost []string, orders ...promoter.Order) (subscriber.Change, []operatorRecord, []operatorRecord) {
+	var records, withdrawals []operatorRecord
+	for _, order := range orders {
+		records = append(records, operatorRecord{OperatorRecord{Order: &order}, order.Offset})
+	}
+	for _, service := range lost {
+		withdrawals = append(withdrawals, operatorRecord{OperatorRecord{WithdrawnService: service}, 0})
+	}
+	return subscriber.Change{Epoch: epoch}, records, withdrawals
+}
+
+// orderStep is a step of a test: a change with an order, a withdrawal, or only the new epoch.
+type orderStep struct {
+	epoch    subscriber.Epoch
+	order    promoter.Order
+	lost     bool
+	withdraw bool
+	// after is the time since the last step.
+	after time.Duration
+}
+
+func (s orderStep) apply(m *rolloutManager, now *time.Duration) {
+	*now += s.after
+	var lost []string
+	if s.lost {
+		lost = []string{"helper"}
+	}
+	var orders []promoter.Order
+	if s.order.Service != "" {
+		orders = append(orders, s.order)
+	}
+	change, records, withdrawals := ordered(s.epoch, lost, orders...)
+	m.enterEpoch(change, records, withdrawals)
+	switch {
+	case s.withdraw:
+		m.removeOrder("helper")
+	case s.order.Service != "":
+		m.addOrder(s.order)
+	}
+}
+
+// TestOrderAfterRestoreOfLog guards against a rollout that starts anew, and exposes sessions to a
+// version that was rolled back, because its order was written again at another offset, and against
+// a new order that is ignored because it got the offset of one that the log has lost.
+func TestOrderAfterRestoreOfLog(t *testing.T) {
+	at := func(epoch uint64, offset int64) promoter.Order {
+		return promoter.Order{Service: "helper", Target: "v2", Duration: time.Minute, Epoch: epoch, Offset: offset}
+	}
+	changed := func(order promoter.Order, change func(*promoter.Order)) promoter.Order {
+		change(&order)
+		return order
+	}
+	toV3 := func(order *promoter.Order) { order.Target = "v3" }
+	longer := func(order *promoter.Order) { order.Duration *= 2 }
+	rows := map[string]struct {
+		// steps follow the roll-back of the order at offset 8 of epoch 1.
+		steps []orderStep
+		want  promoter.State
+		// wantOrder is the order at the end, or the zero value if there is none.
+		wantOrder promoter.Order
+	}{
+		"read twice":                 {[]orderStep{{epoch: 1, order: at(1, 8)}}, promoter.RolledBack, at(1, 8)},
+		"ordered again":              {[]orderStep{{epoch: 1, order: at(1, 9)}}, promoter.Waiting, at(1, 9)},
+		"an older order":             {[]orderStep{{epoch: 1, order: changed(at(1, 3), toV3)}}, promoter.RolledBack, at(1, 8)},
+		"lost":                       {[]orderStep{{epoch: 2, lost: true}}, promoter.RolledBack, at(1, 8)},
+		"written again below":        {[]orderStep{{epoch: 2, lost: true}, {epoch: 2, order: at(2, 5)}}, promoter.RolledBack, at(2, 5)},
+		"written again above":        {[]orderStep{{epoch: 2, lost: true}, {epoch: 2, order: at(2, 11)}}, promoter.RolledBack, at(2, 11)},
+		"written again at the same":  {[]orderStep{{epoch: 2, lost: true}, {epoch: 2, order: at(2, 8)}}, promoter.RolledBack, at(2, 8)},
+		"written again before":       {[]orderStep{{epoch: 2, order: at(2, 5)}}, promoter.RolledBack, at(2, 5)},
+		"written again, then anew":   {[]orderStep{{epoch: 2, lost: true}, {epoch: 2, order: at(2, 5)}, {epoch: 2, order: at(2, 6)}}, promoter.Waiting, at(2, 6)},
+		"lost twice":                 {[]orderStep{{epoch: 2, lost: true}, {epoch: 3, lost: true}, {epoch: 3, order: at(3, 4)}}, promoter.RolledBack, at(3, 4)},
+		"another target, same place": {[]orderStep{{epoch: 2, lost: true}, {epoch: 2, order: changed(at(2, 8), toV3)}}, promoter.Waiting, changed(at(2, 8), toV3)},
+		"another duration":           {[]orderStep{{epoch: 2, lost: true}, {epoch: 2, order: changed(at(2, 8), longer)}}, promoter.Waiting, changed(at(2, 8), longer)},
+		"kept by the log":            {[]orderStep{{epoch: 2}, {epoch: 2, order: at(2, 8)}}, promoter.RolledBack, at(2, 8)},
+		"kept, then ordered again":   {[]orderStep{{epoch: 2}, {epoch: 2, order: at(2, 9)}}, promoter.Waiting, at(2, 9)},
+		"a record of before":         {[]orderStep{{epoch: 2, lost: true}, {epoch: 2, order: at(2, 5)}, {epoch: 2, order: at(1, 8)}}, promoter.RolledBack, at(2, 5)},
+		"withdrawn":                  {[]orderStep{{epoch: 1, withdraw: true}}, promoter.Waiting, promoter.Order{}},
+		"withdrawn and ordered":      {[]orderStep{{epoch: 1, withdraw: true}, {epoch: 1, order: at(1, 10)}}, promoter.Waiting, at(1, 10)},
+		"withdrawal lost":            {[]orderStep{{epoch: 1, withdraw: true}, {epoch: 2}, {epoch: 2, order: at(2, 8)}}, promoter.RolledBack, at(2, 8)},
+		"withdrawal lost for long":   {[]orderStep{{epoch: 1, withdraw: true}, {epoch: 2}, {epoch: 2, order: at(2, 8), after: time.Hour}}, promoter.RolledBack, at(2, 8)},
+		"both written again":         {[]orderStep{{epoch: 1, withdraw: true}, {epoch: 2}, {epoch: 2, order: at(2, 5), after: time.Second}}, promoter.RolledBack, at(2, 5)},
+		"withdrawn, ordered later":   {[]orderStep{{epoch: 1, withdraw: true}, {epoch: 2}, {epoch: 2, order: at(2, 12), after: time.Minute}}, promoter.Waiting, at(2, 12)},
+	}
+	for name, row := range rows {
+		t.Run(name, func(t *testing.T) {
+			now := time.Hour
+			m := newTestManager(&now)
+			orderStep{epoch: 1, order: at(1, 8)}.apply(m, &now)
+			m.applyStatus(m.byService["helper"], promoter.Status{Service: "helper", Target: "v2", OrderOffset: 8, State: promoter.RolledBack})
+			for _, step := range row.steps {
+				step.apply(m, &now)
+			}
+			rollout := m.byService["helper"]
+			if row.wantOrder == (promoter.Order{}) {
+				if rollout != nil {
+					t.Errorf("rollout got %+v, want none", rollout.order)
+				}
+				return
+			}
+			if rollout == nil {
+				t.Fatalf("rollout got none, want one of %+v", row.wantOrder)
+			}
+			if rollout.state != row.want || rollout.order.Offset != row.wantOrder.Offset || rollout.order.Target != row.wantOrder.Target || rollout.order.Duration != row.wantOrder.Duration {
+				t.Errorf("rollout got %v of %+v, want %v of %+v", rollout.state, rollout.order, row.want, row.wantOrder)
+			}
+		})
+	}
+}
--- a/internal/runner/progress.go
+++ b/internal/runner/progress.go
@@ -137,12 +137,13 @@
 		share = promoter.CanaryShare(oldEndpoints, m.settings.Load().ExposureShare)
 	}
 	status := promoter.Status{
-		Service:     rollout.order.Service,
-		Target:      rollout.order.Target,
-		OrderOffset: rollout.order.Offset,
-		State:       next,
-		Share:       share,
-		FirstSeen:   time.Now().Add(rollout.firstSeen - now),
+		Service:       rollout.order.Service,
+		Target:        rollout.order.Target,
+		OrderOffset:   rollout.order.Offset,
+		OrderDuration: rollout.order.Duration,
+		State:         next,
+		Share:         share,
+		FirstSeen:     time.Now().Add(rollout.firstSeen - now),
 	}
 	if next == promoter.RolledBack {
 		status.Reason = view.Reason()
--- a/internal/runner/rollouts.go
+++ b/internal/runner/rollouts.go
@@ -95,6 +95,12 @@
 	mu sync.Mutex
 	// byService holds the rollouts that have an order.
 	byService map[string]*rolloutState
+	// withdrawn holds the last rollout of each service whose order was withdrawn.
+	withdrawn map[string]withdrawnRollout
+	// epoch is the log's epoch of the last change of the operators' topic.
+	epoch subscriber.Epoch
+	// restoreWindowEnd is the end of the restoreWindow after the last restore of the log.
+	restoreWindowEnd time.Duration
 	// currentVersions are the versions that services without an order run on.
 	currentVersions map[string]string
 	statuses        map[string]promoter.Status
@@ -109,6 +115,7 @@
 		reportKey:       r.settings.Load().Name + "/" + strconv.FormatInt(int64(r.deps.Clock()), 36),
 		changed:         make(chan struct{}, 1),
 		byService:       map[string]*rolloutState{},
+		withdrawn:       map[string]withdrawnRollout{},
 		currentVersions: map[string]string{},
 		statuses:        map[string]promoter.Status{},
 		sessions:        promoter.NewSessions(r.settings.Load().SessionTimeout),
@@ -119,38 +126,6 @@
 	return m
 }
 
-// addOrder starts a rollout for an operator's order. It ignores an order that it
-// already has.
-func (m *rolloutManager) addOrder(order promoter.Order) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	rollout := m.byService[order.Service]
-	if rollout != nil && rollout.order.Offset == order.Offset {
-		return
-	}
-	now := m.deps.Clock()
-	rollout = &rolloutState{
-		order:                  order,
-		firstSeen:              now,
-		stateEntered:           now,
-		evidence:               promoter.NewEvidence(),
-		peerEvidence:           map[string]map[string]float64{},
-		peerBalances:           map[string]promoter.Balance{},
-		peerOldVersionSessions: map[uint64]bool{},
-	}
-	m.byService[order.Service] = rollout
-	m.applyStatus(rollout, m.statuses[order.Service])
-	m.wake()
-}
-
-// removeOrder ends the rollout of a service whose order was withdrawn.
-func (m *rolloutManager) removeOrder(service string) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	delete(m.byService, service)
-	m.wake()
-}
-
 // wake signals that a rollout may have begun or ended. It does not block.
 func (m *rolloutManager) wake() {
 	select {
