Order evacuations that only a peer knows before all records of the epoch

Cause: a daemon that starts after a restore of the log takes lost records from its zone reader, with offsets of the earlier epoch. They were compared with those of the new one, so a withdrawal at a lower offset would have been ignored.

Change: such a record has lostOffset; any record of the new epoch is newer.

--- a/internal/runner/evacuations.go
+++ b/internal/runner/evacuations.go
@@ -19,7 +19,8 @@
 	lost []string
 }
 
-// evacuationRecord evacuates a zone, or withdraws its evacuation.
+// evacuationRecord evacuates a zone, or withdraws its evacuation. Its offset is lostOffset if the
+// log has lost it.
 type evacuationRecord struct {
 	zone      string
 	evacuated bool
@@ -36,11 +37,16 @@
 		}
 	}
 	for _, record := range records {
+		offset := record.offset
+		if record.epoch < change.Epoch {
+			// A peer still knows it.
+			offset = lostOffset
+		}
 		switch {
 		case record.EvacuatedZone != "":
-			evacuation.records = append(evacuation.records, evacuationRecord{record.EvacuatedZone, true, record.offset})
+			evacuation.records = append(evacuation.records, evacuationRecord{record.EvacuatedZone, true, offset})
 		case record.ReturnedZone != "":
-			evacuation.records = append(evacuation.records, evacuationRecord{record.ReturnedZone, false, record.offset})
+			evacuation.records = append(evacuation.records, evacuationRecord{record.ReturnedZone, false, offset})
 		}
 	}
 	return evacuation
@@ -77,8 +83,9 @@
 	}
 	for _, record := range change.records {
 		current, found := e.zones[record.zone]
+		isLost := record.offset == lostOffset
 		switch {
-		case record.offset < applied || found && record.offset < current:
+		case !isLost && record.offset < applied || found && record.offset < current:
 		case record.evacuated:
 			e.zones[record.zone] = record.offset
 		default:
@@ -95,10 +102,10 @@
 	}
 	if e.epoch != 0 {
 		e.next = 0
-		for zone := range e.zones {
-			if change.complete || slices.Contains(change.lost, zone) {
-				e.zones[zone] = lostOffset
-			}
+	}
+	for zone := range e.zones {
+		if change.complete && e.epoch != 0 || slices.Contains(change.lost, zone) {
+			e.zones[zone] = lostOffset
 		}
 	}
 	e.epoch = change.epoch
--- a/internal/runner/follow.go
+++ b/internal/runner/follow.go
@@ -13,6 +13,7 @@
 type operatorRecord struct {
 	OperatorRecord
 	offset int64
+	epoch  subscriber.Epoch
 }
 
 // applyOperatorRecords applies declarations, rollout orders, evacuations and their withdrawal
@@ -59,7 +60,7 @@
 			r.logger.Error("invalid record in the operators' topic", "key", record.Key, "offset", record.Offset, "error", err)
 			continue
 		}
-		decoded = append(decoded, operatorRecord{content, record.Offset})
+		decoded = append(decoded, operatorRecord{content, record.Offset, record.Epoch})
 	}
 	return decoded
 }
--- a/internal/runner/orders_test.go
+++ b/internal/runner/orders_test.go
@@ -26,10 +26,10 @@
 func ordered(epoch subscriber.Epoch, lost []string, orders ...promoter.Order) (subscriber.Change, []operatorRecord, []operatorRecord) {
 	var records, withdrawals []operatorRecord
 	for _, order := range orders {
-		records = append(records, operatorRecord{OperatorRecord{Order: &order}, order.Offset})
+		records = append(records, operatorRecord{OperatorRecord{Order: &order}, order.Offset, subscriber.Epoch(order.Epoch)})
 	}
 	for _, service := range lost {
-		withdrawals = append(withdrawals, operatorRecord{OperatorRecord{WithdrawnService: service}, 0})
+		withdrawals = append(withdrawals, operatorRecord{OperatorRecord{WithdrawnService: service}, 0, 0})
 	}
 	return subscriber.Change{Epoch: epoch}, records, withdrawals
 }
