Write again the states of rollouts that the log has lost

Cause: a state of a rollout was written once. When the log came back from an older copy, a canary, a completed rollout or a roll-back that it had lost was written by nobody: operators read an older state, and a daemon that starts began the rollout again and exposed sessions to a version that was rolled back. Nothing read the topic once all rollouts were final.

Change: each daemon compares the status that the log holds with what it knows, also of final rollouts for 15 s after a restore, and writes what is missing, on condition that the topic ends where it has read it, after up to 0.5 s (1 s if it follows a zone reader). A daemon that finds an order among all records waits 2 s before it writes a state of it. A completed rollout stays so if a daemon that did not know it has rolled it back. The call of addOrder in TestWorkOnReportsGrowsWithTheirNumber has one more argument.

--- a/internal/promoter/promoter.go
+++ b/internal/promoter/promoter.go
@@ -65,6 +65,15 @@
 // Final reports whether the state is terminal.
 func (s State) Final() bool { return s == Completed || s == RolledBack }
 
+// finality orders the states by what a rollout that was in both of them is in. If a daemon that
+// does not know that a rollout is completed rolls it back, the old version has stopped already.
+func (s State) finality() int {
+	return [...]int{Waiting: 0, Canary: 1, Full: 2, RolledBack: 3, Completed: 4}[s]
+}
+
+// Supersedes reports whether a rollout that was in both states is in this one.
+func (s State) Supersedes(other State) bool { return s.finality() > other.finality() }
+
 // Status is the state of a rollout that all daemons agree on.
 type Status struct {
 	Service string
@@ -91,6 +100,15 @@
 	return s.State
 }
 
+// StateOfLost returns the state of an order that the log has lost. The status may name any place
+// in the log: others may have read the order there again.
+func (s Status) StateOfLost(order Order) State {
+	if !s.asksSameAs(order) {
+		return Waiting
+	}
+	return s.State
+}
+
 // asksSameAs reports whether the status is of an order with the same content, wherever in the
 // log that order is.
 func (s Status) asksSameAs(order Order) bool {
--- a/internal/runner/follow.go
+++ b/internal/runner/follow.go
@@ -32,7 +32,7 @@
 			order := *decoded.Order
 			r.logger.Info("rollout ordered", "service", order.Service, "target", order.Target, "duration", noter.FormatDuration(order.Duration), "offset", decoded.offset)
 			r.updateOperatorState(func(state *operatorState) { state.setOrder(order) })
-			r.rollouts.addOrder(order)
+			r.rollouts.addOrder(order, change.Complete)
 		case decoded.WithdrawnService != "":
 			r.updateOperatorState(func(state *operatorState) { state.removeOrder(decoded.WithdrawnService) })
 			r.rollouts.removeOrder(decoded.WithdrawnService)
--- a/internal/runner/orders.go
+++ b/internal/runner/orders.go
@@ -48,6 +48,7 @@
 		return
 	}
 	m.restoreWindowEnd = m.deps.Clock() + restoreWindow
+	m.wake()
 	if change.Complete {
 		return
 	}
@@ -69,8 +70,8 @@
 
 // addOrder starts a rollout for an operator's order. It ignores an order that it already has,
 // and an older one. An order that was written again after the log had lost it goes on with its
-// rollout.
-func (m *rolloutManager) addOrder(order promoter.Order) {
+// rollout. If the order may be an old one, this daemon waits before it writes a state of it.
+func (m *rolloutManager) addOrder(order promoter.Order, mayBeOld bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	service := order.Service
@@ -84,6 +85,9 @@
 		rollout = former.rolloutState
 	default:
 		rollout = m.newRollout(order)
+		if mayBeOld {
+			rollout.decideFrom = rollout.firstSeen + lateHoldOf(order)
+		}
 	}
 	if rollout.order != order {
 		m.logger.Info("rollout order was written again after the log lost it", "service", service, "target", order.Target,
--- a/internal/runner/orders_test.go
+++ b/internal/runner/orders_test.go
@@ -60,7 +60,7 @@
 	case s.withdraw:
 		m.removeOrder("helper")
 	case s.order.Service != "":
-		m.addOrder(s.order)
+		m.addOrder(s.order, false)
 	}
 }
 
--- a/internal/runner/progress.go
+++ b/internal/runner/progress.go
@@ -34,6 +34,10 @@
 	now := m.deps.Clock()
 	var writes []func(context.Context) error
 	for _, rollout := range m.byService {
+		if rewrite := m.rewrite(rollout, now); rewrite != nil {
+			writes = append(writes, rewrite)
+			continue
+		}
 		if rollout.state.Final() {
 			continue
 		}
@@ -122,7 +126,7 @@
 		Stale:        m.isStale(m.resultsTopic),
 	}
 	next := promoter.Decide(view)
-	if next == rollout.state {
+	if next == rollout.state || now < rollout.decideFrom {
 		return nil
 	}
 	if rollout.writeAt == 0 {
--- a/internal/runner/rollouts.go
+++ b/internal/runner/rollouts.go
@@ -78,6 +78,11 @@
 	worse bool
 	// writeAt is when this daemon writes the next state; 0 if it has none to write.
 	writeAt time.Duration
+	// rewriteAt is when this daemon writes the state again that the log lacks; 0 if it does
+	// not.
+	rewriteAt time.Duration
+	// decideFrom is when this daemon may first write a next state.
+	decideFrom time.Duration
 }
 
 // rolloutManager follows the rollouts of all services and writes their next
@@ -103,9 +108,11 @@
 	restoreWindowEnd time.Duration
 	// currentVersions are the versions that services without an order run on.
 	currentVersions map[string]string
-	statuses        map[string]promoter.Status
-	sessions        *promoter.Sessions
-	baselines       map[baselineKey]*promoter.Baseline
+	// statuses are the newest known status of each service, logged those that the log holds.
+	statuses  map[string]promoter.Status
+	logged    map[string]promoter.Status
+	sessions  *promoter.Sessions
+	baselines map[baselineKey]*promoter.Baseline
 }
 
 // newRolloutManager returns a manager without rollouts.
@@ -118,6 +125,7 @@
 		withdrawn:       map[string]withdrawnRollout{},
 		currentVersions: map[string]string{},
 		statuses:        map[string]promoter.Status{},
+		logged:          map[string]promoter.Status{},
 		sessions:        promoter.NewSessions(r.settings.Load().SessionTimeout),
 		baselines:       map[baselineKey]*promoter.Baseline{},
 	}
@@ -134,46 +142,6 @@
 	}
 }
 
-// applyStatuses applies the states that daemons have written. It logs and skips
-// an invalid record.
-func (m *rolloutManager) applyStatuses(change subscriber.Change) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	for _, record := range change.Records {
-		status, err := m.deps.Translator.DecodeStatus(record)
-		if err != nil {
-			m.logger.Error("invalid rollout status record", "key", record.Key, "offset", record.Offset, "error", err)
-			continue
-		}
-		m.statuses[status.Service] = status
-		if rollout := m.byService[status.Service]; rollout != nil {
-			m.applyStatus(rollout, status)
-		}
-	}
-	m.wake()
-}
-
-// applyStatus moves a rollout to the state that the daemons have agreed on.
-// States only move forward.
-func (m *rolloutManager) applyStatus(rollout *rolloutState, status promoter.Status) {
-	state := status.StateOf(rollout.order)
-	if state <= rollout.state || rollout.state.Final() {
-		return
-	}
-	now := m.deps.Clock()
-	balance := m.pooledBalance(rollout)
-	m.logger.Info("rollout state changed", "ttft_balance", balance.TTFT, "pace_balance", balance.Pace, "ttft_floor", balance.TTFTFloor, "pace_floor", balance.PaceFloor, "pace_narrow", balance.PaceNarrow, "service", rollout.order.Service, "target", rollout.order.Target,
-		"from", rollout.state.String(), "to", state.String(), "runs", rollout.evidence.Results(), "elapsed", noter.FormatDuration(now-rollout.firstSeen))
-	rollout.state = state
-	rollout.status = status
-	rollout.stateEntered = now
-	rollout.writeAt = 0
-	// A daemon that started later derives the order's age from the time at which the
-	// first daemon saw it.
-	age := min(rollout.order.Duration, max(0, time.Since(status.FirstSeen)))
-	rollout.firstSeen = min(rollout.firstSeen, now-age)
-}
-
 // applyReports applies the evidence and the sessions that other daemons have
 // reported. It logs and skips an invalid report.
 func (m *rolloutManager) applyReports(change subscriber.Change) {
@@ -269,12 +237,14 @@
 	}
 }
 
-// hasActive reports whether a rollout is not in a final state.
+// hasActive reports whether a rollout is not in a final state, or whether the states of rollouts
+// must be compared with those in the log, since it may have lost some.
 func (m *rolloutManager) hasActive() bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	inRestoreWindow := m.deps.Clock() < m.restoreWindowEnd
 	for _, rollout := range m.byService {
-		if !rollout.state.Final() {
+		if inRestoreWindow || !rollout.state.Final() || m.logLacks(rollout) {
 			return true
 		}
 	}
--- /dev/null
+++ b/internal/runner/statuses_test.go
@@ -0,0 +1,127 @@
+package runner
+
+import (
+	"encoding/json"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"quetzalgrade.example/quetzalgrade/internal/promoter"
+	"quetzalgrade.example/quetzalgrade/internal/subscriber"
+)
+
+// statusTranslator decodes statuses that are written as JSON.
+type statusTranslator struct{ Translator }
+
+func (statusTranslator) DecodeStatus(record subscriber.Record) (promoter.Status, error) {
+	service, found := strings.CutPrefix(record.Key, "rollout/")
+	if !found {
+		return promoter.Status{}, errors.Errorf("unknown key %q", record.Key)
+	}
+	status := promoter.Status{Service: service}
+	if len(record.Value) == 0 {
+		return status, nil
+	}
+	return status, json.Unmarshal(record.Value, &status)
+}
+
+// statusRecord returns the record of a status of the helper service's order at an offset.
+func statusRecord(t *testing.T, epoch subscriber.Epoch, offset, order int64, state promoter.State) subscriber.Record {
+	t.Helper()
+	value, err := json.Marshal(promoter.Status{Service: "helper", Target: "v2", OrderOffset: order, OrderDuration: time.Minute, State: state, FirstSeen: time.Now()})
+	if err != nil {
+		t.Fatalf("Marshal() got error %v, want nil", err)
+	}
+	return subscriber.Record{Key: "rollout/helper", Value: value, Offset: offset, Epoch: epoch}
+}
+
+// TestStatusThatLogLacks guards against a state that nobody writes again although the log has lost
+// it, or although a daemon that did not know it has written an earlier one, against one that is
+// written without need, and against a completed rollout that is rolled back.
+func TestStatusThatLogLacks(t *testing.T) {
+	lostKey := []string{"rollout/helper"}
+	order := func(epoch uint64, offset int64) promoter.Order {
+		return promoter.Order{Service: "helper", Target: "v2", Duration: time.Minute, Epoch: epoch, Offset: offset}
+	}
+	rows := map[string]struct {
+		// state is the first state that the log shows, in epoch 1.
+		state   promoter.State
+		changes func(t *testing.T) []subscriber.Change
+		// lostOrder is set if the log has lost the order, rewritten is the order at the end.
+		lostOrder bool
+		rewritten promoter.Order
+		want      promoter.State
+		wantLacks bool
+	}{
+		"in the log":      {state: promoter.RolledBack, want: promoter.RolledBack},
+		"not begun":       {want: promoter.Waiting},
+		"kept by the log": {state: promoter.Completed, changes: func(*testing.T) []subscriber.Change { return []subscriber.Change{{Epoch: 2, Next: 9}} }, want: promoter.Completed},
+		"roll-back lost":  {state: promoter.RolledBack, changes: func(*testing.T) []subscriber.Change { return []subscriber.Change{{Epoch: 2, Next: 3, Lost: lostKey}} }, want: promoter.RolledBack, wantLacks: true},
+		"canary lost":     {state: promoter.Canary, changes: func(*testing.T) []subscriber.Change { return []subscriber.Change{{Epoch: 2, Next: 3, Lost: lostKey}} }, want: promoter.Canary, wantLacks: true},
+		"lost for good":   {state: promoter.Completed, changes: func(*testing.T) []subscriber.Change { return []subscriber.Change{{Epoch: 2, Complete: true}} }, want: promoter.Completed, wantLacks: true},
+		"lost, older in log": {state: promoter.Completed, changes: func(t *testing.T) []subscriber.Change {
+			return []subscriber.Change{{Epoch: 2, Complete: true, Records: []subscriber.Record{statusRecord(t, 2, 1, 8, promoter.Canary)}}}
+		}, want: promoter.Completed, wantLacks: true},
+		"lost, written again": {state: promoter.Full, changes: func(t *testing.T) []subscriber.Change {
+			return []subscriber.Change{{Epoch: 2, Lost: lostKey}, {Epoch: 2, Records: []subscriber.Record{statusRecord(t, 2, 4, 8, promoter.Full)}}}
+		}, want: promoter.Full},
+		"lost, gone on": {state: promoter.Full, changes: func(t *testing.T) []subscriber.Change {
+			return []subscriber.Change{{Epoch: 2, Lost: lostKey}, {Epoch: 2, Records: []subscriber.Record{statusRecord(t, 2, 4, 8, promoter.Completed)}}}
+		}, want: promoter.Completed},
+		"lost, a daemon that did not know began anew": {state: promoter.RolledBack, changes: func(t *testing.T) []subscriber.Change {
+			return []subscriber.Change{{Epoch: 2, Lost: lostKey}, {Epoch: 2, Records: []subscriber.Record{statusRecord(t, 2, 4, 8, promoter.Canary)}}}
+		}, want: promoter.RolledBack, wantLacks: true},
+		"lost, a daemon that did not know rolled back": {state: promoter.Completed, changes: func(t *testing.T) []subscriber.Change {
+			return []subscriber.Change{{Epoch: 2, Lost: lostKey}, {Epoch: 2, Records: []subscriber.Record{statusRecord(t, 2, 4, 8, promoter.RolledBack)}}}
+		}, want: promoter.Completed, wantLacks: true},
+		"rolled back without knowing": {state: promoter.RolledBack, changes: func(t *testing.T) []subscriber.Change {
+			return []subscriber.Change{{Epoch: 1, Records: []subscriber.Record{statusRecord(t, 1, 9, 8, promoter.Completed)}}}
+		}, want: promoter.Completed},
+		"only a peer knows": {changes: func(t *testing.T) []subscriber.Change {
+			return []subscriber.Change{{Epoch: 2, Complete: true, Records: []subscriber.Record{statusRecord(t, 1, 9, 8, promoter.Full)}}, {Epoch: 2, Lost: lostKey}}
+		}, want: promoter.Full, wantLacks: true},
+		"order lost, too": {state: promoter.RolledBack, lostOrder: true, changes: func(*testing.T) []subscriber.Change { return []subscriber.Change{{Epoch: 2, Lost: lostKey}} }, want: promoter.RolledBack, wantLacks: true},
+		"order lost, others have it again": {state: promoter.RolledBack, lostOrder: true, changes: func(t *testing.T) []subscriber.Change {
+			return []subscriber.Change{{Epoch: 2, Lost: lostKey}, {Epoch: 2, Records: []subscriber.Record{statusRecord(t, 2, 4, 6, promoter.RolledBack)}}}
+		}, want: promoter.RolledBack},
+		"order written again": {state: promoter.RolledBack, lostOrder: true, rewritten: order(2, 6), changes: func(t *testing.T) []subscriber.Change {
+			return []subscriber.Change{{Epoch: 2, Lost: lostKey}, {Epoch: 2, Records: []subscriber.Record{statusRecord(t, 2, 4, 8, promoter.RolledBack)}}}
+		}, want: promoter.RolledBack, wantLacks: true},
+		"order and status written again": {state: promoter.RolledBack, lostOrder: true, rewritten: order(2, 6), changes: func(t *testing.T) []subscriber.Change {
+			return []subscriber.Change{{Epoch: 2, Lost: lostKey}, {Epoch: 2, Records: []subscriber.Record{statusRecord(t, 2, 4, 6, promoter.RolledBack)}}}
+		}, want: promoter.RolledBack},
+		"order written again after its next state": {state: promoter.Full, lostOrder: true, rewritten: order(2, 6), changes: func(t *testing.T) []subscriber.Change {
+			return []subscriber.Change{{Epoch: 2, Lost: lostKey}, {Epoch: 2, Records: []subscriber.Record{statusRecord(t, 2, 4, 6, promoter.Completed)}}}
+		}, want: promoter.Completed},
+	}
+	for name, row := range rows {
+		t.Run(name, func(t *testing.T) {
+			now := time.Hour
+			m := newTestManager(&now)
+			m.deps.Translator = statusTranslator{}
+			orderStep{epoch: 1, order: order(1, 8)}.apply(m, &now)
+			first := subscriber.Change{Epoch: 1, Complete: true}
+			if row.state != promoter.Waiting {
+				first.Records = []subscriber.Record{statusRecord(t, 1, 5, 8, row.state)}
+			}
+			m.applyStatuses(first)
+			if row.lostOrder {
+				orderStep{epoch: 2, lost: true}.apply(m, &now)
+			}
+			if row.changes != nil {
+				for _, change := range row.changes(t) {
+					m.applyStatuses(change)
+				}
+			}
+			if row.rewritten.Service != "" {
+				orderStep{epoch: 2, order: row.rewritten}.apply(m, &now)
+			}
+			rollout := m.byService["helper"]
+			if got := m.logLacks(rollout); rollout.state != row.want || got != row.wantLacks {
+				t.Errorf("rollout got %v, the log lacks it: %t, want %v, %t", rollout.state, got, row.want, row.wantLacks)
+			}
+		})
+	}
+}
