Keep endpoints whose registration the log has lost for a grace period, unless they drain

Cause: nothing acted on keys that the log has lost: an endpoint that was gone stayed until the end of the hold. A draining endpoint that was removed was forgotten, so an older copy of the log brought it back as ready, and it got requests again.

Change: an endpoint whose registration is lost is removed after the grace period that follows an outage of the log, unless it registers again.

--- a/internal/runner/follow.go
+++ b/internal/runner/follow.go
@@ -126,5 +126,8 @@
 	if change.Complete {
 		r.tracker.Retain(seen, grace)
 	}
+	for _, key := range change.Lost {
+		r.tracker.Lose(key, grace)
+	}
 	r.rollouts.updateCurrentVersions()
 }
--- a/internal/tracker/tracker.go
+++ b/internal/tracker/tracker.go
@@ -120,6 +120,8 @@
 	synchronised bool
 	// notices holds what endpoints have asked for in their responses, by their id.
 	notices map[string]*notice
+	// drained remembers the endpoints that were removed while they were draining.
+	drained drainedEndpoints
 	// evacuated holds the availability zones whose endpoints get no requests.
 	evacuated map[string]bool
 	zone      string
@@ -144,6 +146,7 @@
 		colds:             map[string]*coldState{},
 		coldShare:         func(string, float64) float64 { return 0 },
 		notices:           map[string]*notice{},
+		drained:           drainedEndpoints{byID: map[string]drainedEndpoint{}},
 		share:             func(_ string, perSecond float64) float64 { return perSecond },
 		zone:              zone,
 		random:            random,
@@ -153,11 +156,14 @@
 }
 
 // Put adds or updates an endpoint. It ignores a registration that is older than
-// the stored one.
+// the stored one, or than that of an endpoint that has been drained and removed.
 func (t *Tracker) Put(registration Registration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	endpoint := t.endpoints[registration.ID]
+	if endpoint == nil && t.drained.supersedes(registration) {
+		return
+	}
 	if endpoint == nil {
 		endpoint = &endpointState{idHash: xxhash.Sum64String(registration.ID)}
 		t.endpoints[registration.ID] = endpoint
@@ -216,6 +222,9 @@
 	}
 	if grace <= 0 || endpoint.Draining {
 		t.logChange("endpoint removed", endpoint.Registration)
+		if endpoint.Draining {
+			t.drained.add(endpoint.Registration, t.now())
+		}
 		delete(t.endpoints, id)
 		return
 	}
