Write again a report on a version that the log has lost

Cause: a daemon reported again only when its evidence had grown. A report that the log had lost was missing to daemons that start, and reports were matched by the offset of the order alone, so those of daemons that knew the order at another offset were dropped, and those on another version at the same offset were taken.

Change: after a restore of the log each daemon compares its latest report once with what the log holds, at the next report interval. Reports name their version; while the log has lost the order they count wherever it is, after that at its former offsets too.

--- a/internal/runner/orders.go
+++ b/internal/runner/orders.go
@@ -92,6 +92,7 @@
 	if rollout.order != order {
 		m.logger.Info("rollout order was written again after the log lost it", "service", service, "target", order.Target,
 			"offset", order.Offset, "former_offset", rollout.order.Offset, "epoch", order.Epoch, "state", rollout.state.String())
+		rollout.formerOffsets = append(rollout.formerOffsets, rollout.order.Offset)
 		rollout.order = order
 	}
 	delete(m.withdrawn, service)
--- a/internal/runner/progress.go
+++ b/internal/runner/progress.go
@@ -6,13 +6,10 @@
 	"time"
 
 	"github.com/go-faster/errors"
-	"google.golang.org/protobuf/proto"
-	"google.golang.org/protobuf/types/known/durationpb"
 
 	"quetzalgrade.example/quetzalgrade/internal/noter"
 	"quetzalgrade.example/quetzalgrade/internal/promoter"
 	"quetzalgrade.example/quetzalgrade/internal/subscriber"
-	"quetzalgrade.example/quetzalgrade/pkg/schema"
 )
 
 // writeDue writes this daemon's reports and the rollout states that are due. It
@@ -55,51 +52,6 @@
 	return writes
 }
 
-// reportWrite returns a write of this daemon's report on a rollout, or nil if
-// none is due. A report is due when a report interval begins and the number of bad
-// results has changed, every few intervals if that of compared results has, and once
-// to list the sessions on the old version if there are any.
-func (m *rolloutManager) reportWrite(rollout *rolloutState, now time.Duration) func(context.Context) error {
-	listSessions := !rollout.sessionsListed && promoter.ShouldListSessions(rollout.state, now-rollout.stateEntered)
-	if listSessions {
-		rollout.sessionsListed = true
-		rollout.oldVersionSessions = m.sessions.OldVersionDigests(rollout.order, rollout.status.Share, time.Now())
-	}
-	evidence := rollout.evidence.ByEndpoint()
-	interval := int64((now - rollout.stateEntered) / reportInterval)
-	due := interval != rollout.lastReportInterval
-	rollout.lastReportInterval = interval
-	evidenceGrown := due && (rollout.evidence.Bad() != rollout.reportedBad ||
-		interval%speedReportIntervals == 0 && rollout.evidence.Compared() != rollout.reportedCompared)
-	if !evidenceGrown && (!listSessions || len(rollout.oldVersionSessions) == 0) {
-		return nil
-	}
-	rollout.reportedBad = rollout.evidence.Bad()
-	rollout.reportedCompared = rollout.evidence.Compared()
-	balance := rollout.evidence.Balance()
-	report := &schema.RolloutReport{
-		Service:    rollout.order.Service,
-		Order:      rollout.order.Offset,
-		Doubts:     evidence,
-		Sessions:   rollout.oldVersionSessions,
-		Ttft:       balance.Sum.TTFT,
-		Pace:       balance.Sum.Pace,
-		At:         durationpb.New(balance.At),
-		TtftFloor:  balance.Sum.TTFTFloor,
-		PaceFloor:  balance.Sum.PaceFloor,
-		PaceNarrow: balance.Sum.PaceNarrow,
-	}
-	return func(ctx context.Context) error {
-		ctx, cancel := context.WithTimeout(ctx, writeTimeout)
-		defer cancel()
-		data, err := proto.Marshal(report)
-		if err != nil {
-			return err
-		}
-		return m.deps.ResultsTopic.Append(ctx, m.reportKey, data)
-	}
-}
-
 // progressWrite returns a write of the rollout's next state, or nil if the state
 // does not change or its write is not due.
 func (m *rolloutManager) progressWrite(rollout *rolloutState, now time.Duration) func(context.Context) error {
--- a/internal/runner/reports_test.go
+++ b/internal/runner/reports_test.go
@@ -57,3 +57,110 @@
 		t.Errorf("bytes allocated for %d reports got %d, want at most %d, twice %d times those for %d", large, got, limit, large/small, small)
 	}
 }
+
+// TestReportThatLogHasLost guards against evidence against a version that the other daemons never
+// get, because the log has lost this daemon's report, and against reports of all daemons after a
+// restore that has lost none.
+func TestReportThatLogHasLost(t *testing.T) {
+	rows := map[string]struct {
+		// changes follow the report, whose record is own.
+		changes func(own subscriber.Record) []subscriber.Change
+		want    bool
+	}{
+		"nothing": {func(subscriber.Record) []subscriber.Change { return nil }, false},
+		"kept by the log": {func(own subscriber.Record) []subscriber.Change {
+			return []subscriber.Change{{Epoch: 1, Records: []subscriber.Record{own}}, {Epoch: 2}}
+		}, false},
+		"lost": {func(own subscriber.Record) []subscriber.Change {
+			return []subscriber.Change{{Epoch: 1, Records: []subscriber.Record{own}}, {Epoch: 2, Lost: []string{own.Key}}}
+		}, true},
+		"lost before it was read": {func(subscriber.Record) []subscriber.Change { return []subscriber.Change{{Epoch: 2}} }, true},
+		"lost, other reports are kept": {func(own subscriber.Record) []subscriber.Change {
+			return []subscriber.Change{{Epoch: 1, Records: []subscriber.Record{own}}, {Epoch: 2, Lost: []string{"entry-2", own.Key}}}
+		}, true},
+		"reports of others are lost": {func(own subscriber.Record) []subscriber.Change {
+			return []subscriber.Change{{Epoch: 1, Records: []subscriber.Record{own}}, {Epoch: 2, Lost: []string{"entry-2"}}}
+		}, false},
+		"lost, all keys are read again": {func(own subscriber.Record) []subscriber.Change {
+			return []subscriber.Change{{Epoch: 1, Records: []subscriber.Record{own}}, {Epoch: 2, Complete: true}}
+		}, true},
+	}
+	for name, row := range rows {
+		t.Run(name, func(t *testing.T) {
+			now := time.Hour
+			m := newTestManager(&now)
+			orderStep{epoch: 1, order: promoter.Order{Service: "helper", Target: "v2", Duration: time.Minute, Epoch: 1, Offset: 8}}.apply(m, &now)
+			m.applyReports(subscriber.Change{Epoch: 1, Complete: true})
+			rollout := m.byService["helper"]
+			rollout.evidence.Add("e1", "chat", false)
+			now += reportInterval
+			if m.reportWrite(rollout, now) == nil {
+				t.Fatal("reportWrite() got none after a bad result, want one")
+			}
+			for _, change := range row.changes(subscriber.Record{Key: m.reportKey, Value: []byte(rollout.lastReport), Epoch: 1}) {
+				m.applyReports(change)
+			}
+			writes := 0
+			for range 4 {
+				now += reportInterval
+				if m.reportWrite(rollout, now) != nil {
+					writes++
+				}
+			}
+			want := 0
+			if row.want {
+				want = 1
+			}
+			if writes != want {
+				t.Errorf("reports after that got %d, want %d", writes, want)
+			}
+		})
+	}
+}
+
+// TestReportsOnOrderThatMoved guards against evidence of other daemons that is dropped because they
+// know the order at another offset, and against evidence on another version whose order got the
+// offset of one that the log has lost.
+func TestReportsOnOrderThatMoved(t *testing.T) {
+	at := func(epoch uint64, offset int64) promoter.Order {
+		return promoter.Order{Service: "helper", Target: "v2", Duration: time.Minute, Epoch: epoch, Offset: offset}
+	}
+	lost := orderStep{epoch: 2, lost: true}
+	rows := map[string]struct {
+		steps  []orderStep
+		target string
+		order  int64
+		want   bool
+	}{
+		"at the offset":                  {nil, "v2", 8, true},
+		"at the offset, without target":  {nil, "", 8, true},
+		"at the offset, another target":  {nil, "v3", 8, false},
+		"at another offset":              {nil, "v2", 5, false},
+		"lost, at the former offset":     {[]orderStep{lost}, "v2", 8, true},
+		"lost, others have it again":     {[]orderStep{lost}, "v2", 5, true},
+		"lost, another target":           {[]orderStep{lost}, "v3", 5, false},
+		"written again, at its offset":   {[]orderStep{lost, {epoch: 2, order: at(2, 5)}}, "v2", 5, true},
+		"written again, at the former":   {[]orderStep{lost, {epoch: 2, order: at(2, 5)}}, "v2", 8, true},
+		"written again, another offset":  {[]orderStep{lost, {epoch: 2, order: at(2, 5)}}, "v2", 7, false},
+		"written again, a newer one":     {[]orderStep{lost, {epoch: 2, order: at(2, 5)}, {epoch: 2, order: at(2, 9)}}, "v2", 5, false},
+		"written again, another version": {[]orderStep{lost, {epoch: 2, order: at(2, 5)}}, "v3", 8, false},
+	}
+	for name, row := range rows {
+		t.Run(name, func(t *testing.T) {
+			now := time.Hour
+			m := newTestManager(&now)
+			orderStep{epoch: 1, order: at(1, 8)}.apply(m, &now)
+			for _, step := range row.steps {
+				step.apply(m, &now)
+			}
+			value, err := proto.Marshal(&schema.RolloutReport{Service: "helper", Order: row.order, Target: row.target, Doubts: map[string]float64{"e1": 1}})
+			if err != nil {
+				t.Fatalf("Marshal() got error %v, want nil", err)
+			}
+			m.applyReports(subscriber.Change{Records: []subscriber.Record{{Key: "entry-2", Value: value}}})
+			if _, got := m.byService["helper"].peerEvidence["entry-2"]; got != row.want {
+				t.Errorf("report applied: %t, want %t", got, row.want)
+			}
+		})
+	}
+}
--- a/internal/runner/rollouts.go
+++ b/internal/runner/rollouts.go
@@ -8,25 +8,15 @@
 	"sync"
 	"time"
 
-	"google.golang.org/protobuf/proto"
-
 	"quetzalgrade.example/quetzalgrade/internal/noter"
 	"quetzalgrade.example/quetzalgrade/internal/promoter"
 	"quetzalgrade.example/quetzalgrade/internal/subscriber"
 	"quetzalgrade.example/quetzalgrade/internal/tracker"
-	"quetzalgrade.example/quetzalgrade/pkg/schema"
 )
 
 const (
 	// decideInterval is how often the states of active rollouts are decided.
 	decideInterval = 200 * time.Millisecond
-	// reportInterval is the time between two reports of a daemon. It counts from the
-	// beginning of the state, so that the reports of all daemons arrive together and
-	// share a read.
-	reportInterval = 1500 * time.Millisecond
-	// speedReportIntervals is the number of report intervals between two reports
-	// without new bad results.
-	speedReportIntervals = 2
 	// writeJitter spreads the daemons' attempts to write the same state, rollbackJitter
 	// those to write a roll-back. Daemons stop using a bad version before that.
 	writeJitter    = time.Second
@@ -46,7 +36,10 @@
 
 // rolloutState is this daemon's state of one service's rollout.
 type rolloutState struct {
-	order  promoter.Order
+	order promoter.Order
+	// formerOffsets are those at which the order was before the log lost it.
+	formerOffsets []int64
+
 	state  promoter.State
 	status promoter.Status
 	// initialOldEndpoints is the number of endpoints of the old version when this daemon
@@ -61,6 +54,9 @@
 	// in the latest report.
 	reportedBad      int
 	reportedCompared int
+	// lastReport is the latest report. checkReport is set when the log may have lost it.
+	lastReport  string
+	checkReport bool
 	// lastReportInterval is the number of report intervals that had passed in the
 	// state at the latest check.
 	lastReportInterval int64
@@ -109,10 +105,14 @@
 	// currentVersions are the versions that services without an order run on.
 	currentVersions map[string]string
 	// statuses are the newest known status of each service, logged those that the log holds.
-	statuses  map[string]promoter.Status
-	logged    map[string]promoter.Status
-	sessions  *promoter.Sessions
-	baselines map[baselineKey]*promoter.Baseline
+	statuses map[string]promoter.Status
+	logged   map[string]promoter.Status
+	// ownReports are this daemon's reports that the log holds, by service, resultsEpoch the
+	// log's epoch of the last change of the results topic.
+	ownReports   map[string]string
+	resultsEpoch subscriber.Epoch
+	sessions     *promoter.Sessions
+	baselines    map[baselineKey]*promoter.Baseline
 }
 
 // newRolloutManager returns a manager without rollouts.
@@ -126,6 +126,7 @@
 		currentVersions: map[string]string{},
 		statuses:        map[string]promoter.Status{},
 		logged:          map[string]promoter.Status{},
+		ownReports:      map[string]string{},
 		sessions:        promoter.NewSessions(r.settings.Load().SessionTimeout),
 		baselines:       map[baselineKey]*promoter.Baseline{},
 	}
@@ -142,35 +143,6 @@
 	}
 }
 
-// applyReports applies the evidence and the sessions that other daemons have
-// reported. It logs and skips an invalid report.
-func (m *rolloutManager) applyReports(change subscriber.Change) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	changed := map[*rolloutState]bool{}
-	for _, record := range change.Records {
-		report := &schema.RolloutReport{}
-		if err := proto.Unmarshal(record.Value, report); err != nil {
-			m.logger.Error("invalid rollout report", "key", record.Key, "offset", record.Offset, "error", err)
-			continue
-		}
-		rollout := m.byService[report.GetService()]
-		if rollout == nil || rollout.order.Offset != report.GetOrder() || record.Key == m.reportKey {
-			continue
-		}
-		rollout.peerEvidence[record.Key] = report.GetDoubts()
-		rollout.peerBalances[record.Key] = promoter.Balance{Sum: promoter.Score{TTFT: report.GetTtft(), Pace: report.GetPace(), TTFTFloor: report.GetTtftFloor(), PaceFloor: report.GetPaceFloor(), PaceNarrow: report.GetPaceNarrow()}, At: report.GetAt().AsDuration()}
-		for _, digest := range report.GetSessions() {
-			rollout.peerOldVersionSessions[digest] = true
-		}
-		changed[rollout] = true
-	}
-	// Each evaluation takes time in proportion to the number of daemons.
-	for rollout := range changed {
-		m.evaluate(rollout)
-	}
-}
-
 // elapsed returns the time since the rollout's order was first seen.
 func (m *rolloutManager) elapsed(rollout *rolloutState) time.Duration {
 	return m.deps.Clock() - rollout.firstSeen
