Record the zone's reader and its contact again after the log has lost them

Cause: a daemon named itself once, as the zone's reader and as the contact of its zone, and remembered that. After a restore of the log a daemon that started found no reader, or an earlier one, and became a second one, which costs reads of the log; zones did not find each other.

Change: the runner tells the relayer and the contacts of a new epoch of the operators' topic. A zone reader whose record is missing records itself, on condition that the topic ends where it has read it; a contact that is missing is written again. Gauge log_epoch, counter log_restores_total and a line for operators.

--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -109,6 +109,8 @@
 	snapshots map[string]*snapshotCache
 	// readerFailed signals that the zone reader has failed.
 	readerFailed chan struct{}
+	// logRestored signals that the log may have lost this daemon's record.
+	logRestored  chan struct{}
 	draining     atomic.Bool
 	relayedReads atomic.Uint64
 
@@ -137,6 +139,7 @@
 		topics:       map[string]*subscriber.Subscriber{},
 		snapshots:    map[string]*snapshotCache{},
 		readerFailed: make(chan struct{}, 1),
+		logRestored:  make(chan struct{}, 1),
 		decided:      make(chan struct{}),
 	}
 }
@@ -204,6 +207,12 @@
 		case <-timer.C:
 		case <-r.readerFailed:
 			sleep(ctx, time.Duration(rand.Int64N(int64(r.failureJitter()))))
+		case <-r.logRestored:
+			sleep(ctx, time.Duration(rand.Int64N(int64(startJitter))))
+			if r.Reads() {
+				r.recordAgain(ctx)
+			}
+			continue
 		case <-ctx.Done():
 			return ctx.Err()
 		}
--- a/internal/runner/contacts.go
+++ b/internal/runner/contacts.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"quetzalgrade.example/quetzalgrade/internal/relayer"
+	"quetzalgrade.example/quetzalgrade/internal/subscriber"
 )
 
 const (
@@ -28,6 +29,10 @@
 type contacts struct {
 	*Runner
 	self relayer.ZoneReader
+	// published is set once this daemon has named itself, publishedIn is the log's epoch in which
+	// its record was last found or written. Only run uses them.
+	published   bool
+	publishedIn subscriber.Epoch
 
 	mu        sync.Mutex
 	addresses []netip.AddrPort
@@ -49,9 +54,9 @@
 func (c *contacts) run(ctx context.Context) error {
 	ticker := time.NewTicker(contactInterval)
 	defer ticker.Stop()
-	published := false
 	reads := 0
 	var readAt time.Time
+	epoch := c.logEpoch()
 	for {
 		select {
 		case <-ticker.C:
@@ -60,13 +65,15 @@
 		}
 		// A daemon that has lost its zone reader leaves the contacts to the next one.
 		isContact := c.relayer.Reads() || len(c.peers.serving()) <= 1 && !c.relayer.Following()
-		if !isContact || !contactsDue(reads, c.peers.knowsOtherZone(), time.Since(readAt)) {
+		current := c.logEpoch()
+		if !isContact || current == epoch && !contactsDue(reads, c.peers.knowsOtherZone(), time.Since(readAt)) {
 			continue
 		}
-		if err := c.exchange(ctx, &published); err != nil {
+		if err := c.exchange(ctx); err != nil {
 			c.logger.Info("cannot exchange contacts with other zones", "error", err)
 			continue
 		}
+		epoch = current
 		readAt = time.Now()
 		reads++
 		c.peers.prober.Join(ctx)
@@ -82,26 +89,28 @@
 
 // exchange names this daemon in the log, unless that is done, and reads the contacts of
 // the other zones.
-func (c *contacts) exchange(ctx context.Context, published *bool) error {
+func (c *contacts) exchange(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, contactTimeout)
 	defer cancel()
-	zone := c.settings.Load().Zone
-	if !*published {
-		value, err := c.self.Encode()
-		if err != nil {
-			return err
-		}
-		if err := c.deps.ContactTopic.Append(ctx, zone, value); err != nil {
+	if !c.published {
+		if err := c.publish(ctx); err != nil {
 			return err
 		}
-		*published = true
 	}
 	snapshot, err := c.deps.ContactTopic.Newest(ctx)
 	if err != nil {
 		return err
 	}
+	contacts := relayer.DecodeReaders(snapshot.Records, c.logger)
+	zone := c.settings.Load().Zone
+	if c.isLost(contacts, zone, snapshot.Next.Epoch) {
+		if err := c.publish(ctx); err != nil {
+			return err
+		}
+	}
+	c.publishedIn = snapshot.Next.Epoch
 	var addresses []netip.AddrPort
-	for other, contact := range relayer.DecodeReaders(snapshot.Records, c.logger) {
+	for other, contact := range contacts {
 		if other != zone {
 			addresses = append(addresses, contact.Address)
 		}
@@ -111,3 +120,24 @@
 	c.addresses = addresses
 	return nil
 }
+
+// publish names this daemon in the log as the contact of its zone.
+func (c *contacts) publish(ctx context.Context) error {
+	value, err := c.self.Encode()
+	if err != nil {
+		return err
+	}
+	if err := c.deps.ContactTopic.Append(ctx, c.settings.Load().Zone, value); err != nil {
+		return err
+	}
+	c.published = true
+	return nil
+}
+
+// isLost reports whether the log has lost the record of this daemon: it names nobody for the zone,
+// or an earlier daemon after a restore. Without one, another daemon of the zone may have replaced
+// the record.
+func (c *contacts) isLost(contacts map[string]relayer.ZoneReader, zone string, epoch subscriber.Epoch) bool {
+	contact, found := contacts[zone]
+	return !found || c.publishedIn != 0 && epoch != c.publishedIn && contact != c.self
+}
--- a/internal/runner/follow.go
+++ b/internal/runner/follow.go
@@ -19,6 +19,7 @@
 // applyOperatorRecords applies declarations, rollout orders, evacuations and their withdrawal
 // from the operators' topic. It logs and skips an invalid record.
 func (r *Runner) applyOperatorRecords(change subscriber.Change) {
+	r.enterEpoch(change.Epoch)
 	records := r.decodeOperatorRecords(change.Records)
 	lost := r.decodeOperatorRecords(deletions(change.Lost))
 	// Evacuations come first, because the daemon serves requests from its first declaration on.
@@ -40,6 +41,25 @@
 	}
 }
 
+// logEpoch returns the log's epoch of the last change of the operators' topic.
+func (r *Runner) logEpoch() subscriber.Epoch { return subscriber.Epoch(r.epoch.Load()) }
+
+// enterEpoch records the log's epoch of a change of the operators' topic. If the log has come back
+// from an older copy, what daemons wrote to it may be gone.
+func (r *Runner) enterEpoch(epoch subscriber.Epoch) {
+	before := r.logEpoch()
+	if epoch <= before {
+		return
+	}
+	r.epoch.Store(uint64(epoch))
+	if before == 0 {
+		return
+	}
+	r.logRestores.Inc()
+	r.logger.Warn("log has come back from an older copy", "epoch", uint64(epoch), "epoch_before", uint64(before))
+	r.relayer.LogRestored()
+}
+
 // deletions returns records that delete the keys. Their decoded form says what the keys are of.
 func deletions(keys []string) []subscriber.Record {
 	var records []subscriber.Record
--- a/internal/runner/listen.go
+++ b/internal/runner/listen.go
@@ -112,6 +112,8 @@
 	gauge("ejections", func() float64 { _, ejections := r.tracker.Counts(); return float64(ejections) })
 	gauge("evacuated_zones", func() float64 { return float64(len(r.operatorState.Snapshot().evacuated)) })
 	r.ignoredRecords = r.metrics.NewCounter("ignored_operator_records_total")
+	r.logRestores = r.metrics.NewCounter("log_restores_total")
+	gauge("log_epoch", func() float64 { return float64(r.logEpoch()) })
 	gauge("members_serving", func() float64 { return float64(len(r.peers.serving())) })
 	gauge("limited_endpoints", func() float64 { return float64(r.tracker.LimitedEndpoints()) })
 	gauge("cold_endpoints", func() float64 { return float64(r.tracker.ColdEndpoints()) })
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -148,6 +148,10 @@
 	quarantine    *quarantiner.Quarantine
 	// ignoredRecords counts the operators' records that this daemon does not act on.
 	ignoredRecords *metrics.Counter
+	// epoch is the log's epoch of the last change of the operators' topic, logRestores counts
+	// its changes.
+	epoch       atomic.Uint64
+	logRestores *metrics.Counter
 	// checkedZones are the evacuated zones that were known to checkEvacuations when it was
 	// last called. Only sweep uses it.
 	checkedZones map[string]int64
