--- a/internal/runner/statuses.go
+++ b/internal/runner/statuses.go
@@ -11,8 +11,6 @@
 )
 
 const (
-	// rewriteJitter spreads the daemons' attempts to write again a state that the log has lost.
-	rewriteJitter = 500 * time.Millisecond
 	// lateHold is how long a daemon writes no next state of an order that it finds when it
 	// reads all records. The log may have lost the rollout's state, and daemons that know it
 	// write it again meanwhile. A short order allows less: one part in lateHoldParts.
@@ -115,9 +113,9 @@
 // rewriteDelay returns how long this daemon waits before it writes a state again. As for a next
 // state, the zone readers are first.
 func (m *rolloutManager) rewriteDelay() time.Duration {
-	delay := time.Duration(rand.Int64N(int64(rewriteJitter)))
+	delay := time.Duration(rand.Int64N(int64(writeJitter)))
 	if m.relayer.Following() {
-		delay += rewriteJitter
+		delay += writeJitter
 	}
 	return delay
 }
