Take a rollout's state also from a status of its order's former offset

Cause: a daemon that had read the order again ignored a later state that another one had written for the former offset, and wrote its own over it, in turns with the other one until that had read the order, too. It also wrote over the status of a newer order that it had yet to read.

Change: a status of a former offset counts; one of a higher offset that is none of them is left.

--- a/internal/runner/statuses.go
+++ b/internal/runner/statuses.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"quetzalgrade.example/quetzalgrade/internal/noter"
@@ -62,7 +63,7 @@
 // applyStatus moves a rollout to the state that the daemons have agreed on.
 // States only move forward.
 func (m *rolloutManager) applyStatus(rollout *rolloutState, status promoter.Status) {
-	state := status.StateOf(rollout.order)
+	state := stateOf(rollout, status)
 	if !state.Supersedes(rollout.state) {
 		return
 	}
@@ -80,14 +81,28 @@
 	rollout.firstSeen = min(rollout.firstSeen, now-age)
 }
 
+// stateOf returns the state of the rollout according to a status. A daemon that has not read yet
+// that the order was written again names its former offset.
+func stateOf(rollout *rolloutState, status promoter.Status) promoter.State {
+	if slices.Contains(rollout.formerOffsets, status.OrderOffset) {
+		return status.StateOfLost(rollout.order)
+	}
+	return status.StateOf(rollout.order)
+}
+
 // logLacks reports whether the newest status in the log is behind the rollout's state: the log
 // has lost it, or a daemon that did not know it has written an earlier one.
 func (m *rolloutManager) logLacks(rollout *rolloutState) bool {
-	logged := m.logged[rollout.order.Service]
-	if rollout.order.Epoch < uint64(m.epoch) {
-		return rollout.state.Supersedes(logged.StateOfLost(rollout.order))
+	logged, order := m.logged[rollout.order.Service], rollout.order
+	switch {
+	case order.Epoch < uint64(m.epoch):
+		return rollout.state.Supersedes(logged.StateOfLost(order))
+	case logged.OrderOffset > order.Offset && !slices.Contains(rollout.formerOffsets, logged.OrderOffset):
+		// It may be of a newer order, which this daemon has yet to read.
+		return false
+	default:
+		return rollout.state.Supersedes(logged.StateOf(order))
 	}
-	return rollout.state.Supersedes(logged.StateOf(rollout.order))
 }
 
 // rewrite returns a write of the state that the rollout is in, or nil if the log holds it or the
--- a/internal/runner/statuses_test.go
+++ b/internal/runner/statuses_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/go-faster/errors"
+	"pgregory.net/rapid"
 
 	"quetzalgrade.example/quetzalgrade/internal/promoter"
 	"quetzalgrade.example/quetzalgrade/internal/subscriber"
@@ -52,6 +53,8 @@
 		// lostOrder is set if the log has lost the order, rewritten is the order at the end.
 		lostOrder bool
 		rewritten promoter.Order
+		// then follows that.
+		then      func(t *testing.T) subscriber.Change
 		want      promoter.State
 		wantLacks bool
 	}{
@@ -79,6 +82,9 @@
 		"rolled back without knowing": {state: promoter.RolledBack, changes: func(t *testing.T) []subscriber.Change {
 			return []subscriber.Change{{Epoch: 1, Records: []subscriber.Record{statusRecord(t, 1, 9, 8, promoter.Completed)}}}
 		}, want: promoter.Completed},
+		"another order follows": {state: promoter.RolledBack, changes: func(t *testing.T) []subscriber.Change {
+			return []subscriber.Change{{Epoch: 1, Records: []subscriber.Record{statusRecord(t, 1, 9, 11, promoter.Canary)}}}
+		}, want: promoter.RolledBack},
 		"only a peer knows": {changes: func(t *testing.T) []subscriber.Change {
 			return []subscriber.Change{{Epoch: 2, Complete: true, Records: []subscriber.Record{statusRecord(t, 1, 9, 8, promoter.Full)}}, {Epoch: 2, Lost: lostKey}}
 		}, want: promoter.Full, wantLacks: true},
@@ -92,6 +98,9 @@
 		"order and status written again": {state: promoter.RolledBack, lostOrder: true, rewritten: order(2, 6), changes: func(t *testing.T) []subscriber.Change {
 			return []subscriber.Change{{Epoch: 2, Lost: lostKey}, {Epoch: 2, Records: []subscriber.Record{statusRecord(t, 2, 4, 6, promoter.RolledBack)}}}
 		}, want: promoter.RolledBack},
+		"order written again, a daemon goes on at the former": {state: promoter.Canary, lostOrder: true, rewritten: order(2, 6), then: func(t *testing.T) subscriber.Change {
+			return subscriber.Change{Epoch: 2, Records: []subscriber.Record{statusRecord(t, 2, 4, 8, promoter.Full)}}
+		}, want: promoter.Full, wantLacks: true},
 		"order written again after its next state": {state: promoter.Full, lostOrder: true, rewritten: order(2, 6), changes: func(t *testing.T) []subscriber.Change {
 			return []subscriber.Change{{Epoch: 2, Lost: lostKey}, {Epoch: 2, Records: []subscriber.Record{statusRecord(t, 2, 4, 6, promoter.Completed)}}}
 		}, want: promoter.Completed},
@@ -118,6 +127,9 @@
 			if row.rewritten.Service != "" {
 				orderStep{epoch: 2, order: row.rewritten}.apply(m, &now)
 			}
+			if row.then != nil {
+				m.applyStatuses(row.then(t))
+			}
 			rollout := m.byService["helper"]
 			if got := m.logLacks(rollout); rollout.state != row.want || got != row.wantLacks {
 				t.Errorf("rollout got %v, the log lacks it: %t, want %v, %t", rollout.state, got, row.want, row.wantLacks)
@@ -125,3 +137,79 @@
 		})
 	}
 }
+
+// TestDaemonsAgreeOnStatusAfterRestore guards against daemons that write different states of a
+// rollout over each other without end after the log has lost some: whatever each of them knows, and
+// in whatever order they read and write, the latest state prevails, after few writes.
+func TestDaemonsAgreeOnStatusAfterRestore(t *testing.T) {
+	const (
+		maxDaemons = 5
+		before     = 8
+		after      = 5
+	)
+	lost := promoter.Order{Service: "helper", Target: "v2", Duration: time.Minute, Epoch: 1, Offset: before}
+	again := lost
+	again.Epoch, again.Offset = 2, after
+	rapid.Check(t, func(r *rapid.T) {
+		now := time.Hour
+		states := rapid.SliceOfN(rapid.SampledFrom([]promoter.State{promoter.Waiting, promoter.Canary, promoter.Full, promoter.Completed, promoter.RolledBack}), 1, maxDaemons).Draw(r, "states")
+		latest := promoter.Waiting
+		var daemons []*rolloutManager
+		for _, state := range states {
+			m := newTestManager(&now)
+			m.deps.Translator = statusTranslator{}
+			orderStep{epoch: 1, order: lost}.apply(m, &now)
+			if state != promoter.Waiting {
+				m.applyStatuses(subscriber.Change{Epoch: 1, Records: []subscriber.Record{statusRecord(t, 1, 5, before, state)}})
+			}
+			orderStep{epoch: 2, lost: true}.apply(m, &now)
+			m.applyStatuses(subscriber.Change{Epoch: 2, Lost: []string{"rollout/helper"}})
+			if state.Supersedes(latest) {
+				latest = state
+			}
+			daemons = append(daemons, m)
+		}
+		var log []subscriber.Record
+		read := make([]int, len(daemons))
+		catchUp := func(i int) {
+			daemons[i].applyStatuses(subscriber.Change{Epoch: 2, Records: log[read[i]:]})
+			read[i] = len(log)
+		}
+		// act lets a daemon write what the log lacks by what it has read. The log refuses the write
+		// if it has grown since.
+		act := func(i int) {
+			rollout := daemons[i].byService["helper"]
+			if daemons[i].logLacks(rollout) && read[i] == len(log) {
+				log = append(log, statusRecord(t, 2, int64(len(log)), rollout.order.Offset, rollout.state))
+			}
+		}
+		for range rapid.IntRange(0, 40).Draw(r, "steps") {
+			i := rapid.IntRange(0, len(daemons)-1).Draw(r, "daemon")
+			switch rapid.IntRange(0, 2).Draw(r, "action") {
+			case 0:
+				catchUp(i)
+			case 1:
+				act(i)
+			default:
+				orderStep{epoch: 2, order: again}.apply(daemons[i], &now)
+			}
+		}
+		for range daemons {
+			for i := range daemons {
+				orderStep{epoch: 2, order: again}.apply(daemons[i], &now)
+				catchUp(i)
+				act(i)
+			}
+		}
+		for i, m := range daemons {
+			catchUp(i)
+			if got := m.byService["helper"].state; got != latest || m.logLacks(m.byService["helper"]) {
+				r.Errorf("daemon %d: state got %v, the log lacks it: %t, want %v and false", i, got, m.logLacks(m.byService["helper"]), latest)
+			}
+		}
+		// Each daemon may write what it knows before and after it reads the order again.
+		if got, limit := len(log), 2*len(daemons); got > limit {
+			r.Errorf("writes got %d of %d daemons, want at most %d", got, len(daemons), limit)
+		}
+	})
+}
