--- a/internal/runner/follow.go
+++ b/internal/runner/follow.go
@@ -56,7 +56,6 @@
 		return
 	}
 	r.logRestores.Inc()
-	r.logger.Warn("log has come back from an older copy", "epoch", uint64(epoch), "epoch_before", uint64(before))
 	r.relayer.LogRestored()
 }
 
--- a/internal/runner/listen.go
+++ b/internal/runner/listen.go
@@ -13,6 +13,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"quetzalgrade.example/quetzalgrade/internal/connector"
+	"quetzalgrade.example/quetzalgrade/internal/subscriber"
 )
 
 // listeners are the listening sockets of a daemon.
@@ -113,6 +114,7 @@
 	gauge("evacuated_zones", func() float64 { return float64(len(r.operatorState.Snapshot().evacuated)) })
 	r.ignoredRecords = r.metrics.NewCounter("ignored_operator_records_total")
 	r.logRestores = r.metrics.NewCounter("log_restores_total")
+	gauge("log_lost_keys", func() float64 { return float64(r.lostKeys()) })
 	gauge("log_epoch", func() float64 { return float64(r.logEpoch()) })
 	gauge("members_serving", func() float64 { return float64(len(r.peers.serving())) })
 	gauge("limited_endpoints", func() float64 { return float64(r.tracker.LimitedEndpoints()) })
@@ -123,6 +125,15 @@
 	gauge("foreign_answers", func() float64 { _, misdirected := r.exchanger.Counts(); return float64(misdirected) })
 }
 
+// lostKeys returns the number of keys of which the log has lost the newest record, in all topics.
+func (r *Runner) lostKeys() int {
+	lost := 0
+	for _, topic := range []*subscriber.Subscriber{r.operatorTopic, r.endpointTopic, r.rollouts.statusTopic, r.rollouts.resultsTopic} {
+		lost += topic.LostKeys()
+	}
+	return lost
+}
+
 // handleMetrics writes the metrics of the daemon and of its process.
 func (r *Runner) handleMetrics(writer http.ResponseWriter, _ *http.Request) {
 	r.metrics.WritePrometheus(writer)
