Remember the rollouts that a later order has replaced, until the log shows them again

Cause: after a restore that had lost a later order, which nobody wrote again, the former order counted in the end. Its rollout was forgotten, and its status had been replaced by that of the lost order, which daemons wrote again at once: the former version, rolled back, was exposed and completed.

Change: the last four rollouts of a service are remembered, not only the one whose order was withdrawn. No state is written again for an order that the log has lost, until it shows again.

Five new rows of TestOrderAfterRestoreOfLog pass.

--- a/internal/runner/orders.go
+++ b/internal/runner/orders.go
@@ -1,6 +1,7 @@
 package runner
 
 import (
+	"slices"
 	"time"
 
 	"quetzalgrade.example/quetzalgrade/internal/promoter"
@@ -11,28 +12,36 @@
 // has lost.
 const restoreWindow = 15 * time.Second
 
-// withdrawnRollout is a rollout whose order was withdrawn. If the log loses the withdrawal, the
-// order shows again, and must not start anew.
-type withdrawnRollout struct {
+// maxFormer bounds the former rollouts of a service that are remembered.
+const maxFormer = 4
+
+// formerRollout is a rollout whose order was withdrawn or replaced. If the log loses what came after
+// the order, it shows again, and must not start anew.
+type formerRollout struct {
 	*rolloutState
-	// epoch is that in which the withdrawal was read.
+	// epoch is the last one in which the log is known to have held the order.
 	epoch subscriber.Epoch
 }
 
-// shows reports whether the order is the withdrawn one. Later, the same order at another offset
-// is a new one.
-func (w withdrawnRollout) shows(order promoter.Order, inRestoreWindow bool) bool {
-	if w.rolloutState == nil || order.Epoch == 0 {
+// shows reports whether the order is the former one. Later, the same order at another offset is a
+// new one.
+func (f formerRollout) shows(order promoter.Order, inRestoreWindow bool) bool {
+	former := f.order
+	if order.Epoch == 0 {
 		return false
 	}
-	former := w.order
 	if order == former {
 		return true
 	}
-	former.Epoch = uint64(w.epoch)
+	former.Epoch = uint64(f.epoch)
 	return order.Repeats(former) && (inRestoreWindow || order.Offset == former.Offset)
 }
 
+// isLost reports whether the log has lost the record of the order.
+func (m *rolloutManager) isLost(order promoter.Order) bool {
+	return order.Epoch != 0 && order.Epoch < uint64(m.epoch)
+}
+
 // enterEpoch is called before the orders of a change of the operators' topic are applied. If the
 // change is of a later epoch, the orders that the log has not lost are at the same offset in it.
 // lost are the keys that it has lost, as records that withdraw them.
@@ -75,15 +84,15 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	service := order.Service
-	inRestoreWindow := m.deps.Clock() < m.restoreWindowEnd
-	rollout, former := m.byService[service], m.withdrawn[service]
+	rollout := m.byService[service]
 	switch {
 	case rollout != nil && (order.IsSameRecord(rollout.order) || order.PrecedesRecord(rollout.order)):
 		return
-	case rollout != nil && order.Repeats(rollout.order):
-	case rollout == nil && former.shows(order, inRestoreWindow):
-		rollout = former.rolloutState
-	default:
+	case rollout == nil || !order.Repeats(rollout.order):
+		m.keepFormer(rollout)
+		if rollout = m.takeFormer(order); rollout != nil {
+			break
+		}
 		rollout = m.newRollout(order)
 		if mayBeOld {
 			rollout.decideFrom = rollout.firstSeen + lateHoldOf(order)
@@ -95,12 +104,38 @@
 		rollout.formerOffsets = append(rollout.formerOffsets, rollout.order.Offset)
 		rollout.order = order
 	}
-	delete(m.withdrawn, service)
 	m.byService[service] = rollout
 	m.applyStatus(rollout, m.statuses[service])
 	m.wake()
 }
 
+// keepFormer remembers a rollout that is replaced, if there is one.
+func (m *rolloutManager) keepFormer(rollout *rolloutState) {
+	if rollout == nil {
+		return
+	}
+	service, epoch := rollout.order.Service, m.epoch
+	if m.isLost(rollout.order) {
+		epoch = subscriber.Epoch(rollout.order.Epoch)
+	}
+	former := append(m.former[service], formerRollout{rollout, epoch})
+	m.former[service] = former[max(0, len(former)-maxFormer):]
+}
+
+// takeFormer returns the rollout of an order that was withdrawn or replaced and shows again, or nil
+// if the order is a new one.
+func (m *rolloutManager) takeFormer(order promoter.Order) *rolloutState {
+	inRestoreWindow := m.deps.Clock() < m.restoreWindowEnd
+	former := m.former[order.Service]
+	for i, rollout := range slices.Backward(former) {
+		if rollout.shows(order, inRestoreWindow) {
+			m.former[order.Service] = slices.Delete(former, i, i+1)
+			return rollout.rolloutState
+		}
+	}
+	return nil
+}
+
 // newRollout returns the rollout of a new order.
 func (m *rolloutManager) newRollout(order promoter.Order) *rolloutState {
 	now := m.deps.Clock()
@@ -119,9 +154,7 @@
 func (m *rolloutManager) removeOrder(service string) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if rollout := m.byService[service]; rollout != nil {
-		m.withdrawn[service] = withdrawnRollout{rollout, m.epoch}
-	}
+	m.keepFormer(m.byService[service])
 	delete(m.byService, service)
 	m.wake()
 }
--- a/internal/runner/orders_test.go
+++ b/internal/runner/orders_test.go
@@ -105,6 +105,11 @@
 		"withdrawal lost for long":   {[]orderStep{{epoch: 1, withdraw: true}, {epoch: 2}, {epoch: 2, order: at(2, 8), after: time.Hour}}, promoter.RolledBack, at(2, 8)},
 		"both written again":         {[]orderStep{{epoch: 1, withdraw: true}, {epoch: 2}, {epoch: 2, order: at(2, 5), after: time.Second}}, promoter.RolledBack, at(2, 5)},
 		"withdrawn, ordered later":   {[]orderStep{{epoch: 1, withdraw: true}, {epoch: 2}, {epoch: 2, order: at(2, 12), after: time.Minute}}, promoter.Waiting, at(2, 12)},
+		"replaced, the next is lost": {[]orderStep{{epoch: 1, order: changed(at(1, 9), toV3)}, {epoch: 2, lost: true}, {epoch: 2, order: at(2, 8), after: time.Minute}}, promoter.RolledBack, at(2, 8)},
+		"replaced, both lost":        {[]orderStep{{epoch: 1, order: changed(at(1, 9), toV3)}, {epoch: 2, lost: true}, {epoch: 2, order: at(2, 5)}}, promoter.RolledBack, at(2, 5)},
+		"shows for a while":          {[]orderStep{{epoch: 2, lost: true}, {epoch: 2, order: changed(at(2, 2), toV3)}, {epoch: 2, order: at(2, 4)}}, promoter.RolledBack, at(2, 4)},
+		"replaced, ordered again":    {[]orderStep{{epoch: 1, order: changed(at(1, 9), toV3)}, {epoch: 1, order: at(1, 10)}}, promoter.Waiting, at(1, 10)},
+		"replaced, ordered later":    {[]orderStep{{epoch: 1, order: changed(at(1, 9), toV3)}, {epoch: 2}, {epoch: 2, order: at(2, 12), after: time.Minute}}, promoter.Waiting, at(2, 12)},
 	}
 	for name, row := range rows {
 		t.Run(name, func(t *testing.T) {
--- a/internal/runner/reports.go
+++ b/internal/runner/reports.go
@@ -68,7 +68,7 @@
 		if target != order.Target {
 			return false
 		}
-		if order.Epoch < uint64(m.epoch) {
+		if m.isLost(order) {
 			return true
 		}
 	}
--- a/internal/runner/rollouts.go
+++ b/internal/runner/rollouts.go
@@ -96,8 +96,8 @@
 	mu sync.Mutex
 	// byService holds the rollouts that have an order.
 	byService map[string]*rolloutState
-	// withdrawn holds the last rollout of each service whose order was withdrawn.
-	withdrawn map[string]withdrawnRollout
+	// former holds the latest rollouts of each service whose orders were withdrawn or replaced.
+	former map[string][]formerRollout
 	// epoch is the log's epoch of the last change of the operators' topic.
 	epoch subscriber.Epoch
 	// restoreWindowEnd is the end of the restoreWindow after the last restore of the log.
@@ -122,7 +122,7 @@
 		reportKey:       r.settings.Load().Name + "/" + strconv.FormatInt(int64(r.deps.Clock()), 36),
 		changed:         make(chan struct{}, 1),
 		byService:       map[string]*rolloutState{},
-		withdrawn:       map[string]withdrawnRollout{},
+		former:          map[string][]formerRollout{},
 		currentVersions: map[string]string{},
 		statuses:        map[string]promoter.Status{},
 		logged:          map[string]promoter.Status{},
--- a/internal/runner/statuses.go
+++ b/internal/runner/statuses.go
@@ -95,8 +95,10 @@
 func (m *rolloutManager) logLacks(rollout *rolloutState) bool {
 	logged, order := m.logged[rollout.order.Service], rollout.order
 	switch {
-	case order.Epoch < uint64(m.epoch):
-		return rollout.state.Supersedes(logged.StateOfLost(order))
+	case m.isLost(order):
+		// Its status would replace that of the order that the log shows instead, which may count
+		// in the end.
+		return false
 	case logged.OrderOffset > order.Offset && !slices.Contains(rollout.formerOffsets, logged.OrderOffset):
 		// It may be of a newer order, which this daemon has yet to read.
 		return false
