--- a/internal/runner/orders.go
+++ b/internal/runner/orders.go
@@ -85,18 +85,12 @@
 	defer m.mu.Unlock()
 	service := order.Service
 	rollout := m.byService[service]
-	switch {
-	case rollout != nil && (order.IsSameRecord(rollout.order) || order.PrecedesRecord(rollout.order)):
+	if rollout != nil && (order.IsSameRecord(rollout.order) || order.PrecedesRecord(rollout.order)) {
 		return
-	case rollout == nil || !order.Repeats(rollout.order):
+	}
+	if rollout == nil || !order.Repeats(rollout.order) {
 		m.keepFormer(rollout)
-		if rollout = m.takeFormer(order); rollout != nil {
-			break
-		}
-		rollout = m.newRollout(order)
-		if mayBeOld {
-			rollout.decideFrom = rollout.firstSeen + lateHoldOf(order)
-		}
+		rollout = m.rolloutOf(order, mayBeOld)
 	}
 	if rollout.order != order {
 		m.logger.Info("rollout order was written again after the log lost it", "service", service, "target", order.Target,
@@ -118,8 +112,10 @@
 	if m.isLost(rollout.order) {
 		epoch = subscriber.Epoch(rollout.order.Epoch)
 	}
-	former := append(m.former[service], formerRollout{rollout, epoch})
-	m.former[service] = former[max(0, len(former)-maxFormer):]
+	m.former[service] = append(m.former[service], formerRollout{rollout, epoch})
+	if excess := len(m.former[service]) - maxFormer; excess > 0 {
+		m.former[service] = slices.Delete(m.former[service], 0, excess)
+	}
 }
 
 // takeFormer returns the rollout of an order that was withdrawn or replaced and shows again, or nil
@@ -136,10 +132,13 @@
 	return nil
 }
 
-// newRollout returns the rollout of a new order.
-func (m *rolloutManager) newRollout(order promoter.Order) *rolloutState {
+// rolloutOf returns the rollout that a former order with the same record has, or a new one.
+func (m *rolloutManager) rolloutOf(order promoter.Order, mayBeOld bool) *rolloutState {
+	if rollout := m.takeFormer(order); rollout != nil {
+		return rollout
+	}
 	now := m.deps.Clock()
-	return &rolloutState{
+	rollout := &rolloutState{
 		order:                  order,
 		firstSeen:              now,
 		stateEntered:           now,
@@ -148,6 +147,10 @@
 		peerBalances:           map[string]promoter.Balance{},
 		peerOldVersionSessions: map[uint64]bool{},
 	}
+	if mayBeOld {
+		rollout.decideFrom = now + lateHoldOf(order)
+	}
+	return rollout
 }
 
 // removeOrder ends the rollout of a service whose order was withdrawn.
