--- a/internal/promoter/promoter.go
+++ b/internal/promoter/promoter.go
@@ -14,8 +14,30 @@
 	// Duration is the time within which the rollout must end.
 	Duration time.Duration
 	// Offset is the log offset of the order, which distinguishes orders for the same
-	// version.
+	// version. Epoch is the log's epoch of the offset, or 0 if the log does not say.
 	Offset int64
+	Epoch  uint64
+}
+
+// Repeats reports whether the order is another one written again after the log had lost
+// it: it asks for the same, in a later epoch of the log.
+func (o Order) Repeats(other Order) bool {
+	sameContent := o.Service == other.Service && o.Target == other.Target && o.Duration == other.Duration
+	return sameContent && other.Epoch != 0 && o.Epoch > other.Epoch
+}
+
+// IsSameRecord reports whether both are the same record of the log. Offsets of an epoch are
+// given out once.
+func (o Order) IsSameRecord(other Order) bool {
+	return o.Offset == other.Offset && o.Epoch == other.Epoch
+}
+
+// PrecedesRecord reports whether the order's record is an older one than the other's.
+func (o Order) PrecedesRecord(other Order) bool {
+	if o.Epoch == 0 || other.Epoch == 0 {
+		return false
+	}
+	return o.Epoch < other.Epoch || o.Epoch == other.Epoch && o.Offset < other.Offset
 }
 
 // State is the progress of a rollout.
@@ -43,13 +65,24 @@
 // Final reports whether the state is terminal.
 func (s State) Final() bool { return s == Completed || s == RolledBack }
 
+// finality orders the states by what a rollout that was in both of them is in. If a daemon that
+// does not know that a rollout is completed rolls it back, the old version has stopped already.
+func (s State) finality() int {
+	return [...]int{Waiting: 0, Canary: 1, Full: 2, RolledBack: 3, Completed: 4}[s]
+}
+
+// Supersedes reports whether a rollout that was in both states is in this one.
+func (s State) Supersedes(other State) bool { return s.finality() > other.finality() }
+
 // Status is the state of a rollout that all daemons agree on.
 type Status struct {
 	Service string
 	Target  string
-	// OrderOffset is the offset of the order.
-	OrderOffset int64
-	State       State
+	// OrderOffset is the offset of the order, OrderDuration its duration in whole
+	// milliseconds, or 0 if it is not known.
+	OrderOffset   int64
+	OrderDuration time.Duration
+	State         State
 	// Share is the share of the sessions that get the new version in a canary.
 	Share float64
 	// FirstSeen is the wall-clock time at which a daemon first saw the order.
@@ -61,12 +94,27 @@
 // StateOf returns the state of an order. It is Waiting if the status belongs to
 // another order.
 func (s Status) StateOf(order Order) State {
-	if s.OrderOffset != order.Offset || s.Target != order.Target {
+	if s.OrderOffset != order.Offset || !s.asksSameAs(order) {
 		return Waiting
 	}
 	return s.State
 }
 
+// StateOfLost returns the state of an order that the log has lost. The status may name any place
+// in the log: others may have read the order there again.
+func (s Status) StateOfLost(order Order) State {
+	if !s.asksSameAs(order) {
+		return Waiting
+	}
+	return s.State
+}
+
+// asksSameAs reports whether the status is of an order with the same content, wherever in the
+// log that order is.
+func (s Status) asksSameAs(order Order) bool {
+	return s.Target == order.Target && (s.OrderDuration == 0 || s.OrderDuration == order.Duration.Truncate(time.Millisecond))
+}
+
 const (
 	// maxCanaryShare is the largest share of the sessions that get the new version at
 	// first. It stays well under the exposure that operators allow.
--- a/internal/runner/follow.go
+++ b/internal/runner/follow.go
@@ -13,14 +13,18 @@
 type operatorRecord struct {
 	OperatorRecord
 	offset int64
+	epoch  subscriber.Epoch
 }
 
 // applyOperatorRecords applies declarations, rollout orders, evacuations and their withdrawal
 // from the operators' topic. It logs and skips an invalid record.
 func (r *Runner) applyOperatorRecords(change subscriber.Change) {
+	r.enterEpoch(change.Epoch)
 	records := r.decodeOperatorRecords(change.Records)
+	lost := r.decodeOperatorRecords(deletions(change.Lost))
 	// Evacuations come first, because the daemon serves requests from its first declaration on.
-	r.applyEvacuations(newEvacuationChange(change, records))
+	r.applyEvacuations(newEvacuationChange(change, records, lost))
+	r.rollouts.enterEpoch(change, records, lost)
 	for _, decoded := range records {
 		switch {
 		case decoded.Declaration != nil:
@@ -29,7 +33,7 @@
 			order := *decoded.Order
 			r.logger.Info("rollout ordered", "service", order.Service, "target", order.Target, "duration", noter.FormatDuration(order.Duration), "offset", decoded.offset)
 			r.updateOperatorState(func(state *operatorState) { state.setOrder(order) })
-			r.rollouts.addOrder(order)
+			r.rollouts.addOrder(order, change.Complete)
 		case decoded.WithdrawnService != "":
 			r.updateOperatorState(func(state *operatorState) { state.removeOrder(decoded.WithdrawnService) })
 			r.rollouts.removeOrder(decoded.WithdrawnService)
@@ -37,6 +41,33 @@
 	}
 }
 
+// logEpoch returns the log's epoch of the last change of the operators' topic.
+func (r *Runner) logEpoch() subscriber.Epoch { return subscriber.Epoch(r.epoch.Load()) }
+
+// enterEpoch records the log's epoch of a change of the operators' topic. If the log has come back
+// from an older copy, what daemons wrote to it may be gone.
+func (r *Runner) enterEpoch(epoch subscriber.Epoch) {
+	before := r.logEpoch()
+	if epoch <= before {
+		return
+	}
+	r.epoch.Store(uint64(epoch))
+	if before == 0 {
+		return
+	}
+	r.logRestores.Inc()
+	r.relayer.LogRestored()
+}
+
+// deletions returns records that delete the keys. Their decoded form says what the keys are of.
+func deletions(keys []string) []subscriber.Record {
+	var records []subscriber.Record
+	for _, key := range keys {
+		records = append(records, subscriber.Record{Key: key})
+	}
+	return records
+}
+
 // decodeOperatorRecords decodes records of the operators' topic. It logs, counts and leaves out
 // the invalid ones.
 func (r *Runner) decodeOperatorRecords(records []subscriber.Record) []operatorRecord {
@@ -48,7 +79,7 @@
 			r.logger.Error("invalid record in the operators' topic", "key", record.Key, "offset", record.Offset, "error", err)
 			continue
 		}
-		decoded = append(decoded, operatorRecord{content, record.Offset})
+		decoded = append(decoded, operatorRecord{content, record.Offset, record.Epoch})
 	}
 	return decoded
 }
@@ -114,5 +145,8 @@
 	if change.Complete {
 		r.tracker.Retain(seen, grace)
 	}
+	for _, key := range change.Lost {
+		r.tracker.Lose(key, grace)
+	}
 	r.rollouts.updateCurrentVersions()
 }
--- a/internal/runner/rollouts.go
+++ b/internal/runner/rollouts.go
@@ -8,25 +8,15 @@
 	"sync"
 	"time"
 
-	"google.golang.org/protobuf/proto"
-
 	"quetzalgrade.example/quetzalgrade/internal/noter"
 	"quetzalgrade.example/quetzalgrade/internal/promoter"
 	"quetzalgrade.example/quetzalgrade/internal/subscriber"
 	"quetzalgrade.example/quetzalgrade/internal/tracker"
-	"quetzalgrade.example/quetzalgrade/pkg/schema"
 )
 
 const (
 	// decideInterval is how often the states of active rollouts are decided.
 	decideInterval = 200 * time.Millisecond
-	// reportInterval is the time between two reports of a daemon. It counts from the
-	// beginning of the state, so that the reports of all daemons arrive together and
-	// share a read.
-	reportInterval = 1500 * time.Millisecond
-	// speedReportIntervals is the number of report intervals between two reports
-	// without new bad results.
-	speedReportIntervals = 2
 	// writeJitter spreads the daemons' attempts to write the same state, rollbackJitter
 	// those to write a roll-back. Daemons stop using a bad version before that.
 	writeJitter    = time.Second
@@ -46,7 +36,10 @@
 
 // rolloutState is this daemon's state of one service's rollout.
 type rolloutState struct {
-	order  promoter.Order
+	order promoter.Order
+	// formerOffsets are those at which the order was before the log lost it.
+	formerOffsets []int64
+
 	state  promoter.State
 	status promoter.Status
 	// initialOldEndpoints is the number of endpoints of the old version when this daemon
@@ -61,6 +54,9 @@
 	// in the latest report.
 	reportedBad      int
 	reportedCompared int
+	// lastReport is the latest report. checkReport is set when the log may have lost it.
+	lastReport  string
+	checkReport bool
 	// lastReportInterval is the number of report intervals that had passed in the
 	// state at the latest check.
 	lastReportInterval int64
@@ -78,6 +74,11 @@
 	worse bool
 	// writeAt is when this daemon writes the next state; 0 if it has none to write.
 	writeAt time.Duration
+	// rewriteAt is when this daemon writes the state again that the log lacks; 0 if it does
+	// not.
+	rewriteAt time.Duration
+	// decideFrom is when this daemon may first write a next state.
+	decideFrom time.Duration
 }
 
 // rolloutManager follows the rollouts of all services and writes their next
@@ -95,11 +96,23 @@
 	mu sync.Mutex
 	// byService holds the rollouts that have an order.
 	byService map[string]*rolloutState
+	// former holds the latest rollouts of each service whose orders were withdrawn or replaced.
+	former map[string][]formerRollout
+	// epoch is the log's epoch of the last change of the operators' topic.
+	epoch subscriber.Epoch
+	// restoreWindowEnd is the end of the restoreWindow after the last restore of the log.
+	restoreWindowEnd time.Duration
 	// currentVersions are the versions that services without an order run on.
 	currentVersions map[string]string
-	statuses        map[string]promoter.Status
-	sessions        *promoter.Sessions
-	baselines       map[baselineKey]*promoter.Baseline
+	// statuses are the newest known status of each service, logged those that the log holds.
+	statuses map[string]promoter.Status
+	logged   map[string]promoter.Status
+	// ownReports are this daemon's reports that the log holds, by service, resultsEpoch the
+	// log's epoch of the last change of the results topic.
+	ownReports   map[string]string
+	resultsEpoch subscriber.Epoch
+	sessions     *promoter.Sessions
+	baselines    map[baselineKey]*promoter.Baseline
 }
 
 // newRolloutManager returns a manager without rollouts.
@@ -109,8 +122,11 @@
 		reportKey:       r.settings.Load().Name + "/" + strconv.FormatInt(int64(r.deps.Clock()), 36),
 		changed:         make(chan struct{}, 1),
 		byService:       map[string]*rolloutState{},
+		former:          map[string][]formerRollout{},
 		currentVersions: map[string]string{},
 		statuses:        map[string]promoter.Status{},
+		logged:          map[string]promoter.Status{},
+		ownReports:      map[string]string{},
 		sessions:        promoter.NewSessions(r.settings.Load().SessionTimeout),
 		baselines:       map[baselineKey]*promoter.Baseline{},
 	}
@@ -119,38 +135,6 @@
 	return m
 }
 
-// addOrder starts a rollout for an operator's order. It ignores an order that it
-// already has.
-func (m *rolloutManager) addOrder(order promoter.Order) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	rollout := m.byService[order.Service]
-	if rollout != nil && rollout.order.Offset == order.Offset {
-		return
-	}
-	now := m.deps.Clock()
-	rollout = &rolloutState{
-		order:                  order,
-		firstSeen:              now,
-		stateEntered:           now,
-		evidence:               promoter.NewEvidence(),
-		peerEvidence:           map[string]map[string]float64{},
-		peerBalances:           map[string]promoter.Balance{},
-		peerOldVersionSessions: map[uint64]bool{},
-	}
-	m.byService[order.Service] = rollout
-	m.applyStatus(rollout, m.statuses[order.Service])
-	m.wake()
-}
-
-// removeOrder ends the rollout of a service whose order was withdrawn.
-func (m *rolloutManager) removeOrder(service string) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	delete(m.byService, service)
-	m.wake()
-}
-
 // wake signals that a rollout may have begun or ended. It does not block.
 func (m *rolloutManager) wake() {
 	select {
@@ -159,75 +143,6 @@
 	}
 }
 
-// applyStatuses applies the states that daemons have written. It logs and skips
-// an invalid record.
-func (m *rolloutManager) applyStatuses(change subscriber.Change) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	for _, record := range change.Records {
-		status, err := m.deps.Translator.DecodeStatus(record)
-		if err != nil {
-			m.logger.Error("invalid rollout status record", "key", record.Key, "offset", record.Offset, "error", err)
-			continue
-		}
-		m.statuses[status.Service] = status
-		if rollout := m.byService[status.Service]; rollout != nil {
-			m.applyStatus(rollout, status)
-		}
-	}
-	m.wake()
-}
-
-// applyStatus moves a rollout to the state that the daemons have agreed on.
-// States only move forward.
-func (m *rolloutManager) applyStatus(rollout *rolloutState, status promoter.Status) {
-	state := status.StateOf(rollout.order)
-	if state <= rollout.state || rollout.state.Final() {
-		return
-	}
-	now := m.deps.Clock()
-	balance := m.pooledBalance(rollout)
-	m.logger.Info("rollout state changed", "ttft_balance", balance.TTFT, "pace_balance", balance.Pace, "ttft_floor", balance.TTFTFloor, "pace_floor", balance.PaceFloor, "pace_narrow", balance.PaceNarrow, "service", rollout.order.Service, "target", rollout.order.Target,
-		"from", rollout.state.String(), "to", state.String(), "runs", rollout.evidence.Results(), "elapsed", noter.FormatDuration(now-rollout.firstSeen))
-	rollout.state = state
-	rollout.status = status
-	rollout.stateEntered = now
-	rollout.writeAt = 0
-	// A daemon that started later derives the order's age from the time at which the
-	// first daemon saw it.
-	age := min(rollout.order.Duration, max(0, time.Since(status.FirstSeen)))
-	rollout.firstSeen = min(rollout.firstSeen, now-age)
-}
-
-// applyReports applies the evidence and the sessions that other daemons have
-// reported. It logs and skips an invalid report.
-func (m *rolloutManager) applyReports(change subscriber.Change) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	changed := map[*rolloutState]bool{}
-	for _, record := range change.Records {
-		report := &schema.RolloutReport{}
-		if err := proto.Unmarshal(record.Value, report); err != nil {
-			m.logger.Error("invalid rollout report", "key", record.Key, "offset", record.Offset, "error", err)
-			continue
-		}
-		rollout := m.byService[report.GetService()]
-		if rollout == nil || rollout.order.Offset != report.GetOrder() || record.Key == m.reportKey {
-			continue
-		}
-		rollout.peerEvidence[record.Key] = report.GetDoubts()
-		rollout.peerBalances[record.Key] = promoter.Balance{Sum: promoter.Score{TTFT: report.GetTtft(), Pace: report.GetPace(), TTFTFloor: report.GetTtftFloor(), PaceFloor: report.GetPaceFloor(), PaceNarrow: report.GetPaceNarrow()}, At: report.GetAt().AsDuration()}
-		for _, digest := range report.GetSessions() {
-			rollout.peerOldVersionSessions[digest] = true
-		}
-		changed[rollout] = true
-	}
-	// Each evaluation takes time in proportion to the number of daemons.
-	for rollout := range changed {
-		m.evaluate(rollout)
-	}
-}
-
 // elapsed returns the time since the rollout's order was first seen.
 func (m *rolloutManager) elapsed(rollout *rolloutState) time.Duration {
 	return m.deps.Clock() - rollout.firstSeen
@@ -294,12 +209,14 @@
 	}
 }
 
-// hasActive reports whether a rollout is not in a final state.
+// hasActive reports whether a rollout is not in a final state, or whether the states of rollouts
+// must be compared with those in the log, since it may have lost some.
 func (m *rolloutManager) hasActive() bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	inRestoreWindow := m.deps.Clock() < m.restoreWindowEnd
 	for _, rollout := range m.byService {
-		if !rollout.state.Final() {
+		if inRestoreWindow || !rollout.state.Final() || m.logLacks(rollout) {
 			return true
 		}
 	}
