Send each request of the product's own mode on a new connection

What callers saw in quetzalgrade serve: the body of another account's call, the events of another chat or the beginning of their own once more, or a chat reported as refused (X-Ran: no) although it ran.

Cause: the sender kept connections for idempotent calls, chats and resumed streams, and nothing in a response says which request it belongs to. An endpoint that sends a response once more, late, after the next request was written, had the copy taken for the response to that. Bookings had connections of their own.

Evidence: on TestLateCopyOfResponseIsNotForwarded failed in the row GET (body "response to r1" for r2; run there with Idempotent set for GET) and TestLateCopyOfChatResponse in all four rows: "refused" for a chat that ran, text of another chat, "one one " instead of "one two " for a resumed stream, and a chat's text instead of its refusal.

Change: the sender has one client, which opens a connection for each request. The first response on it can have been caused by nothing else, also at endpoints that send no ids. The field Idempotent of Request and Sender.Close are gone: there is no connection to reuse or to close.

--- a/Makefile
+++ b/Makefile
@@ -58,7 +58,7 @@
 # Times the request path against a plain pass-through in the same run, and the
 # choice of an endpoint by the number of endpoints.
 bench:
-	go test -run '^$$' -bench . -benchmem ./internal/benchmarker ./internal/tracker ./platform
+	go test -run '^$$' -bench . -benchmem ./internal/benchmarker ./internal/sender ./internal/tracker ./platform
 
 # Installs the pinned language server, whose command line renames identifiers
 # with all of their uses: gopls rename -w FILE:LINE:COLUMN NAME.
--- a/internal/connector/connector.go
+++ b/internal/connector/connector.go
@@ -92,6 +92,16 @@
 	}
 }
 
+// NewSingleUseTransport returns an HTTP transport like NewTransport that opens a new connection for
+// each request. An endpoint may send a response once more, late, on a connection that it keeps,
+// where nothing tells it from the response to the next request. Requests on new connections are not
+// silently retried either.
+func NewSingleUseTransport(network Network) *http.Transport {
+	transport := NewTransport(network)
+	transport.DisableKeepAlives = true
+	return transport
+}
+
 // ListenerAddress returns the address of a listener, or the zero address if it is
 // not of the form IP:port.
 func ListenerAddress(listener net.Listener) netip.AddrPort {
--- a/internal/router/plain.go
+++ b/internal/router/plain.go
@@ -186,7 +186,6 @@
 		Body:           request.Body,
 		IdempotencyKey: request.IdempotencyKey,
 		RequestID:      request.ID,
-		Idempotent:     idempotent,
 	}
 	var tried []netip.AddrPort
 	lastFailure := &sender.Failure{Err: classifier.New(classifier.NoEndpoint, "no endpoint of service %q accepts requests", service.Name)}
--- a/internal/sender/sender.go
+++ b/internal/sender/sender.go
@@ -42,11 +42,8 @@
 
 // Sender sends requests to endpoints. It is safe for concurrent use.
 type Sender struct {
+	// client opens a new connection for each request.
 	client *http.Client
-	// noReuseClient opens a new connection for each request. On a reused
-	// connection the transport silently retries some failed requests, which
-	// must not happen to a non-idempotent request.
-	noReuseClient *http.Client
 	// onLoad receives the load that a response carries.
 	onLoad func(netip.AddrPort, watcher.LoadReport)
 }
@@ -54,12 +51,9 @@
 // New returns a sender that opens connections through network. If onLoad is
 // not nil, it is called with the load that each response carries.
 func New(network connector.Network, onLoad func(netip.AddrPort, watcher.LoadReport)) *Sender {
-	noReuse := connector.NewTransport(network)
-	noReuse.DisableKeepAlives = true
 	return &Sender{
-		client:        &http.Client{Transport: connector.NewTransport(network), CheckRedirect: noRedirect},
-		noReuseClient: &http.Client{Transport: noReuse, CheckRedirect: noRedirect},
-		onLoad:        onLoad,
+		client: &http.Client{Transport: connector.NewSingleUseTransport(network), CheckRedirect: noRedirect},
+		onLoad: onLoad,
 	}
 }
 
@@ -67,12 +61,6 @@
 // would execute the request again elsewhere.
 func noRedirect(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
 
-// Close closes idle connections.
-func (s *Sender) Close() {
-	s.client.CloseIdleConnections()
-	s.noReuseClient.CloseIdleConnections()
-}
-
 // sendTrace records whether bytes of a request may have been sent.
 type sendTrace struct {
 	bytesSent atomic.Bool
@@ -115,10 +103,10 @@
 }
 
 // roundTrip sends a request and returns its response, or a failure.
-func (s *Sender) roundTrip(client *http.Client, request *http.Request, endpoint netip.AddrPort) (*http.Response, *Failure) {
+func (s *Sender) roundTrip(request *http.Request, endpoint netip.AddrPort) (*http.Response, *Failure) {
 	trace := &sendTrace{}
 	request = request.WithContext(trace.attach(request.Context()))
-	response, err := client.Do(request)
+	response, err := s.client.Do(request)
 	if err != nil {
 		return nil, classifyFailure(request.Context(), err, trace.bytesSent.Load())
 	}
@@ -184,8 +172,6 @@
 	// IdempotencyKey is forwarded to the endpoint; empty for none.
 	IdempotencyKey string
 	RequestID      string
-	// Idempotent allows the transport to retry the request.
-	Idempotent bool
 }
 
 // maxResponseBytes bounds the body of a plain service's response.
@@ -204,11 +190,7 @@
 	if request.IdempotencyKey != "" {
 		httpRequest.Header.Set("Idempotency-Key", request.IdempotencyKey)
 	}
-	client := s.noReuseClient
-	if request.Idempotent {
-		client = s.client
-	}
-	response, failure := s.roundTrip(client, httpRequest, endpoint)
+	response, failure := s.roundTrip(httpRequest, endpoint)
 	if failure != nil {
 		return Response{}, failure
 	}
--- a/internal/sender/stream.go
+++ b/internal/sender/stream.go
@@ -80,7 +80,7 @@
 	}
 	request.Header.Set("Content-Type", "application/json")
 	request.Header.Set("Accept", "text/event-stream")
-	response, failure := s.roundTrip(s.client, request, endpoint)
+	response, failure := s.roundTrip(request, endpoint)
 	if failure == nil && response.StatusCode != http.StatusOK {
 		failure = responseFailure(response)
 	}
@@ -217,7 +217,7 @@
 	if err != nil {
 		return false
 	}
-	response, failure := st.sender.roundTrip(st.sender.client, request, st.endpoint)
+	response, failure := st.sender.roundTrip(request, st.endpoint)
 	if failure != nil {
 		return false
 	}
@@ -249,7 +249,7 @@
 // connection, so that the engine stops generating.
 func (st *Stream) Close() {
 	if st.complete {
-		// The connection can only be reused if the body is read to its end.
+		// An engine may take a connection that closes before the end of the body for a cancellation.
 		timer := time.AfterFunc(drainTimeout, st.cancel)
 		_, _ = io.CopyN(io.Discard, st.reader, drainMaxBytes)
 		timer.Stop()
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -364,7 +364,6 @@
 // closeComponents releases the connections and actors of the components.
 func (s *Server) closeComponents() {
 	s.transport.CloseIdleConnections()
-	s.sender.Close()
 	s.configuration.Stop()
 	s.members.Stop()
 	s.estimates.Stop()
