Send orders and reads of the load on new connections

What operators saw in quetzalgrade serve: orders counted as accepted (orders_taken_total) that the engine had refused.

Cause: orders and reads of /load shared connections that were kept, and nothing in a response says which request it belongs to. An engine that sends a load report once more, late, had it taken for the response to the order that followed.

Evidence: on TestLateCopyOfLoadReport counted 10, 3 and 5 accepted orders in three runs, none was, and saw connections with several requests. It passes now (5 runs, and with -race). By reading only: a copy also held back or repeated an order until the next comparison 2 s later, and gave an old load until the next report. Orders state a whole set of versions, so that none of this loaded a wrong one.

Change: the client of orders and loads opens a connection for each request. Nothing else can then have caused the response. Calls of the log, the list of instances, the ratings and other daemons keep their connections; they were not examined.

Figures: a daemon reads at most 6 loads every 2 s, and the one with the lease reads each engine of its zone every 2 s, so that this adds as many new connections. Their time was not measured.

--- a/internal/server/loops.go
+++ b/internal/server/loops.go
@@ -135,11 +135,10 @@
 // pollEndpointLoads asks the zone's endpoints for their load, one batch per
 // interval, so that the cost is bounded in a zone with many endpoints.
 func (s *Server) pollEndpointLoads(ctx context.Context) error {
-	client := &http.Client{Transport: s.transport}
 	round := 0
 	return runPeriodically(ctx, loadPollInterval, func(ctx context.Context) {
 		for _, worker := range s.nextLoadBatch(round) {
-			s.fetchLoad(ctx, client, worker)
+			s.fetchLoad(ctx, worker)
 		}
 		round++
 	})
@@ -168,14 +167,14 @@
 
 // fetchLoad asks an endpoint for its load and reports it to the watcher. Errors
 // are ignored: the next round asks again.
-func (s *Server) fetchLoad(ctx context.Context, client *http.Client, worker *compiler.Worker) {
+func (s *Server) fetchLoad(ctx context.Context, worker *compiler.Worker) {
 	ctx, cancel := context.WithTimeout(ctx, loadPollTimeout)
 	defer cancel()
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+worker.Address.String()+"/load", nil)
 	if err != nil {
 		return
 	}
-	response, err := client.Do(request)
+	response, err := s.singleUse.Do(request)
 	if err != nil {
 		return
 	}
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -82,6 +82,7 @@
 	peers         *peerClients
 	prober        *prober.Prober
 	transport     *http.Transport
+	singleUse     *http.Client // for orders to endpoints and reads of their load
 	log           *journaler.Client
 	appendBudget  *rate.Limiter
 	appenders     map[string]*journaler.Appender
@@ -128,6 +129,7 @@
 		logger:       config.Logger.Named("server"),
 		daemonID:     config.Name + "/" + strconv.FormatUint(config.Incarnation, 10),
 		transport:    connector.NewTransport(config.Network),
+		singleUse:    &http.Client{Transport: connector.NewSingleUseTransport(config.Network)},
 		appendBudget: rate.NewLimiter(rate.Limit(config.AppendsPerSecond), 1),
 		appenders:    map[string]*journaler.Appender{},
 		followers:    map[string]*journaler.Follower{},
@@ -204,7 +206,7 @@
 	s.limiter = limiter.New(s.daemonID, s.newID, s.newAppender(allocator.Stream, grantAppendDelay), s.log, grantReadInterval, limiterPeers{s})
 	s.biller = biller.New(s.newAppender(biller.Stream, billAppendDelay), billPeers{s}, c.MaxBills)
 	s.roller = roller.New(s.daemonID, s.newID, s.newAppender(roller.Stream, evidenceAppendDelay), s.log, evidenceReadInterval, s.stopVersion)
-	s.orderer = orderer.New(s.daemonID, c.Zone, s.newID, client, s.newAppender(orderer.Stream, 0), s.log, leaseReadInterval)
+	s.orderer = orderer.New(s.daemonID, c.Zone, s.newID, s.singleUse, s.newAppender(orderer.Stream, 0), s.log, leaseReadInterval)
 	s.newAppender(configurator.Stream, 0)
 	configuration := journaler.NewFollower(s.log, configurator.Stream, configReadInterval, s.applyConfigurationRecords)
 	configuration.OnGap = func() { s.configuration.Enqueue(func(state *configState) { state.revisions.MarkGap() }) }
