Refuse a response whose head holds the beginning of another one

What callers saw: an endpoint stopped inside the status line or inside a header value of a 200, and sent its failure on the same connection. The client of a lookup got status 200 with the text of the failure as a complete body, though another endpoint could have run the lookup.

Cause: http.ReadResponse takes any text for the reason of a status line and for a value. The rest of the second head, with its length, id and signature, then belongs to the first status. "HTTP/1.1 200 OHTTP/1.1 500 Internal Server Error" is a 200.

Evidence: cut after each byte of five heads; the places that fail are those inside the reason and inside values of headers that nothing parses. A cut between lines, inside a name, an id or a length was refused before, because the line of the second status has no colon, or the id and the length are no longer valid.

Change: a head with a status line inside its reason or one of its values is an error, as other bytes that are no response are. The status line of the second response is always there, whatever comes before and after it. A value such as "HTTP/1.1 proxy" is none; one that really quotes a status line makes its response count as failed.

TestCutResponse and TestResponseCutAnywhere show what held before: heads and bodies cut after each byte and closed or, in the first, reset are never taken for complete.

--- a/internal/exchanger/exchanger.go
+++ b/internal/exchanger/exchanger.go
@@ -385,6 +385,9 @@
 		connection.limiter.begin()
 		response, err := http.ReadResponse(connection.reader, httpRequest)
 		connection.limiter.end()
+		if err == nil {
+			err = checkHead(response)
+		}
 		if err != nil {
 			return nil, Foreign, errors.Wrap(err, "read response")
 		}
