Refuse lines of a stream that are no part of an event

What callers saw: an endpoint stopped anywhere inside its stream and wrote the response of a failure after it on the same connection, or only a text. The client found the whole head of the failure inside an event or as an event of its own. If the event had an id, the stream was resumed after it and ended as complete; else it was broken off.

Cause: the buffer of events takes any lines up to an empty line for an event. The empty line after a head completes one. It is the same in a stream that ends with its connection, and inside a chunk or a length that the failure fills.

Change: a line whose name is no name of a field, or that has no value and is not one of the four fields of event streams, ends the stream as corrupt; so does another field in an event with a status line, which may be the end of an event's own line. The stream then goes on elsewhere after its last sound event. Other fields pass, and data may quote a status line.

Not told apart: a text without a head that continues a data line, and a head without any header there.

--- a/internal/exchanger/head.go
+++ b/internal/exchanger/head.go
@@ -13,12 +13,12 @@
 // checkHead returns an error if another response begins inside a line of the head: the endpoint
 // stopped there. What follows, with the length of the body, belongs to the other response.
 func checkHead(response *http.Response) error {
-	if holdsStatusLine(response.Status) {
+	if HoldsStatusLine(response.Status) {
 		return errHeadInHead
 	}
 	for _, values := range response.Header {
 		for _, value := range values {
-			if holdsStatusLine(value) {
+			if HoldsStatusLine(value) {
 				return errHeadInHead
 			}
 		}
@@ -26,9 +26,9 @@
 	return nil
 }
 
-// holdsStatusLine reports whether the beginning of a response, such as "HTTP/1.1 500", is in the
-// text.
-func holdsStatusLine(text string) bool {
+// HoldsStatusLine reports whether the beginning of a response, such as "HTTP/1.1 500", is in the
+// text. An endpoint that has stopped inside a response may send another one after it.
+func HoldsStatusLine(text string) bool {
 	for {
 		_, rest, found := strings.Cut(text, "HTTP/1.")
 		if !found {
--- a/internal/forwarder/event.go
+++ b/internal/forwarder/event.go
@@ -2,9 +2,13 @@
 
 import (
 	"bytes"
+	"slices"
 	"strings"
+	"unicode/utf8"
 
 	"github.com/go-faster/errors"
+
+	"quetzalgrade.example/quetzalgrade/internal/exchanger"
 )
 
 const (
@@ -13,6 +17,8 @@
 	// maxEventIDBytes bounds an id at which a stream can be resumed. It is sent in a
 	// header.
 	maxEventIDBytes = 64
+	// maxQuotedBytes bounds what an error quotes of a line.
+	maxQuotedBytes = 40
 )
 
 // EventID is the id of an event as it stands in the stream, or empty if there is none. 0
@@ -42,7 +48,14 @@
 	return digits > otherDigits
 }
 
-var idField = []byte("id:")
+var (
+	idField         = []byte("id:")
+	colon           = []byte(":")
+	statusLineBegin = []byte("HTTP/1.")
+	// standardFields are the names of the fields that the specification of event streams names.
+	// Only these may have no value.
+	standardFields = []string{"data", "id", "event", "retry"}
+)
 
 // eventBuffer splits a stream of server-sent events into complete events and checks that
 // their ids increase.
@@ -59,6 +72,8 @@
 	// comment. id is its id so far.
 	inEvent bool
 	id      EventID
+	// hasStatusLine is set if a line of that event holds the status line of a response.
+	hasStatusLine bool
 	// after is the greatest id so far. The ids of further events must follow it.
 	after EventID
 	// last is the id of the last complete event. It is empty if that event has no id
@@ -117,8 +132,12 @@
 			return err
 		}
 		e.consumed = e.lineStart
+		e.hasStatusLine = false
 		return nil
 	}
+	if err := e.checkLine(line); err != nil {
+		return err
+	}
 	if line[0] == ':' {
 		return nil
 	}
@@ -129,6 +148,32 @@
 	return nil
 }
 
+// checkLine returns an error if the line, which is not empty, belongs to no event: an endpoint that
+// fails inside a stream may write a text or a whole response into it. The status line of such a
+// response may be the end of a line that it has begun before.
+func (e *eventBuffer) checkLine(line []byte) error {
+	name, _, hasValue := bytes.Cut(line, colon)
+	isKnown := hasValue && len(name) == 0 || slices.Contains(standardFields, string(name))
+	if !isKnown && (e.hasStatusLine || !hasValue || !isFieldName(name)) {
+		return errors.Errorf("line %.*q is no part of an event", maxQuotedBytes, line)
+	}
+	if bytes.Contains(line, statusLineBegin) && exchanger.HoldsStatusLine(string(line)) {
+		e.hasStatusLine = true
+	}
+	return nil
+}
+
+// isFieldName reports whether a name may be that of a field that is not a standard one.
+func isFieldName(name []byte) bool {
+	for _, b := range name {
+		isASCIIName := b >= 'a' && b <= 'z' || b >= 'A' && b <= 'Z' || b >= '0' && b <= '9' || b == '-' || b == '_' || b == '.'
+		if !isASCIIName && b < utf8.RuneSelf {
+			return false
+		}
+	}
+	return true
+}
+
 // endEvent completes the current event, if there is one, and checks its id.
 func (e *eventBuffer) endEvent() error {
 	if !e.inEvent {
