Resume a stream only with a response that is a stream of events

What callers saw: a stream broke off, and the endpoint at which it was resumed sent a signed response with status 200 that was no stream of events, or had no type. A text such as "error: failed" and an empty line came as an event of the stream, which then ended as complete; a response without a body, which said nothing of events, ended it as complete too.

Cause: handleNoContinuation stands for other statuses only. With status 200 any body goes to the parser of events, for which "error" is the name of a field, and any empty body of known length is the rest of a stream.

Change: after the first event a response continues the stream only if its media type is text/event-stream, or that of the first response. A stream whose endpoints name no type is resumed as before. An event of a failure inside a stream of events is not told from others.

--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -222,7 +222,7 @@
 	c.ttft = time.Since(sentAt)
 	choice.ResponseStarted(c.ttft)
 	watch.responseStarted(c.ttft)
-	if response.Status == http.StatusOK && c.route.Kind == matcher.Stream {
+	if response.Status == http.StatusOK && c.route.Kind == matcher.Stream && c.mayContinue(response) {
 		return c.forwardStream(ctx, choice, watch, response, info)
 	}
 	if c.responseStarted {
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -210,6 +210,8 @@
 	mayCrash bool
 	// responseStarted is set if part of the response has been forwarded.
 	responseStarted bool
+	// mediaType is that of the stream of which events have been forwarded.
+	mediaType string
 	// lastEventID is the id of the last event that the client has, or empty if there is
 	// no such event or it has no id with which the stream could be resumed.
 	lastEventID EventID
--- a/internal/forwarder/stream.go
+++ b/internal/forwarder/stream.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"strings"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -73,6 +74,24 @@
 	c.log("stream served", c.endpointFields(choice, "first", noter.FormatDuration(c.ttft), "events", events, "pace", noter.FormatDuration(pace), "confidence", info.Confidence)...)
 }
 
+// mayContinue reports whether a response to a request for a stream may be the stream, or the rest of
+// the one that has been forwarded in part. A response that is neither a stream of events nor of the
+// media type of the first one is no rest, but for example the text of a failure.
+func (c *call) mayContinue(response *exchanger.Response) bool {
+	name := mediaType(response.Header)
+	return !c.responseStarted || name == eventStream || name == c.mediaType
+}
+
+// eventStream is the media type of a stream of events.
+const eventStream = "text/event-stream"
+
+// mediaType returns the media type of a response without its parameters, or an empty string if the
+// headers do not say.
+func mediaType(header http.Header) string {
+	name, _, _ := strings.Cut(header.Get("Content-Type"), ";")
+	return strings.ToLower(strings.TrimSpace(name))
+}
+
 // resumedAtEnd reports whether a stream without events is the valid end of a
 // resumed stream: the earlier attempt broke after its last event had been
 // forwarded.
@@ -85,6 +104,7 @@
 func (c *call) writeEvents(client *clientWriter, response *exchanger.Response, complete []byte, last EventID) error {
 	if !c.responseStarted {
 		c.Counters.FirstEvent.UpdateDuration(c.arrived)
+		c.mediaType = mediaType(response.Header)
 		c.startResponse(http.StatusOK, c.Codec.ClientHeader(response.Header))
 	}
 	if _, err := client.Write(complete); err != nil {
@@ -124,7 +144,7 @@
 // would take it for a part of the stream, and the stream for complete.
 func (c *call) handleNoContinuation(ctx context.Context, choice *tracker.Choice, response *exchanger.Response) (attemptStatus, *bufferedResponse, *classifier.Error) {
 	c.endIncomplete(ctx, choice)
-	c.log("endpoint did not resume the stream", c.endpointFields(choice, "status", response.Status, "after", c.lastEventID)...)
+	c.log("endpoint did not resume the stream", c.endpointFields(choice, "status", response.Status, "type", mediaType(response.Header), "after", c.lastEventID)...)
 	return statusFailed, nil, classifier.New(classifier.EndpointFailed, "endpoint %s responded with status %d in place of the rest of the stream", choice.ID, response.Status)
 }
 
