Take an empty rest for the end of a stream only between two events

What callers saw: an endpoint stopped inside an event, and the one at which the stream was resumed sent a response with status 200, a length or chunks and no event. The stream ended as complete without that event.

Cause: resumedAtEnd took any such response for the rest of the stream, because the first endpoint may have stopped after its last event. Nothing kept that it had begun another one, which shows that there is one.

Change: the call keeps whether an attempt has begun an event after the last one that was forwarded. An empty rest is then no end: the stream goes on at a further endpoint or is broken off. A part of a comment, of an empty line or of a failure begins no event.

--- a/internal/forwarder/event.go
+++ b/internal/forwarder/event.go
@@ -72,6 +72,8 @@
 	// comment. id is its id so far.
 	inEvent bool
 	id      EventID
+	// corrupt is set once a line was no part of an event.
+	corrupt bool
 	// hasStatusLine is set if a line of that event holds the status line of a response.
 	hasStatusLine bool
 	// after is the greatest id so far. The ids of further events must follow it.
@@ -120,6 +122,17 @@
 // incomplete returns the number of bytes of the event that is not complete yet.
 func (e *eventBuffer) incomplete() int { return len(e.buffer) - e.consumed }
 
+// hasBegun reports whether there is a part of an event that is not complete yet, which is neither a
+// comment nor anything else than an event.
+func (e *eventBuffer) hasBegun() bool {
+	if e.inEvent || e.corrupt {
+		return e.inEvent
+	}
+	line := bytes.TrimRight(e.buffer[e.lineStart:], "\r")
+	name, _, _ := bytes.Cut(line, colon)
+	return len(name) > 0 && isFieldName(name)
+}
+
 // size returns the number of bytes that the buffer takes.
 func (e *eventBuffer) size() int { return cap(e.buffer) }
 
@@ -136,6 +149,7 @@
 		return nil
 	}
 	if err := e.checkLine(line); err != nil {
+		e.corrupt = true
 		return err
 	}
 	if line[0] == ':' {
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -215,6 +215,8 @@
 	// lastEventID is the id of the last event that the client has, or empty if there is
 	// no such event or it has no id with which the stream could be resumed.
 	lastEventID EventID
+	// hasBegunEvent is set if an endpoint has sent a part of an event after that one.
+	hasBegunEvent bool
 }
 
 // ServeHTTP implements http.Handler.
--- a/internal/forwarder/stream.go
+++ b/internal/forwarder/stream.go
@@ -59,6 +59,7 @@
 		c.completeStream(choice, info, ahead.endedAt.Sub(startedAt), events.count)
 		return statusDone, nil, nil
 	}
+	c.hasBegunEvent = events.hasBegun() || c.hasBegunEvent && events.count == 0
 	if watch.tookBack() {
 		return c.handleSilentStream(choice, watch, err, events)
 	}
@@ -94,9 +95,9 @@
 
 // resumedAtEnd reports whether a stream without events is the valid end of a
 // resumed stream: the earlier attempt broke after its last event had been
-// forwarded.
+// forwarded. It is not if an attempt has begun a further event.
 func (c *call) resumedAtEnd(response *exchanger.Response) bool {
-	return c.responseStarted && c.lastEventID != "" && response.SelfDelimited()
+	return c.responseStarted && c.lastEventID != "" && !c.hasBegunEvent && response.SelfDelimited()
 }
 
 // writeEvents writes complete events to the client, preceded by the response
