Refuse requests while another daemon has a newer declaration in force

Cause: a daemon that starts after the log has come back from an older copy reads a declaration in which keys are valid that were revoked since, and serves by it, although daemons of other zones have the newer revision in force.

Change: entry daemons report the revision in force in their entry of the membership, once they have joined. A daemon joins right after it knows its role and is not ready before, for 3 s at most. Its view is not fresh while a serving member reports a higher revision that it has heard of while joining, or that the log lacks in a read sent later; for a minute after its start and each new epoch of the log. Reports make no rumours of their own. Seeds are probed at the same time, and a zone reader that has failed is no seed.

--- a/internal/gossiper/gossiper.go
+++ b/internal/gossiper/gossiper.go
@@ -54,6 +54,8 @@
 	Status      schema.Status
 	// Revision is the configuration revision in force at the member.
 	Revision uint64
+	// RevisionSince is when this daemon recorded the revision.
+	RevisionSince time.Time
 	// sequence is raised by the member with each change of its own entry.
 	sequence uint64
 	// statusSince is when this daemon recorded the status.
@@ -189,6 +191,14 @@
 	}
 }
 
+// ReportRevision sets the configuration revision in force at this daemon, which each of its
+// messages carries anyway. Unlike SetRevision, it makes no rumour: if all members did at once,
+// each would pass on the entries of all others.
+func (m *Membership) ReportRevision(revision uint64) {
+	m.self.Revision = max(m.self.Revision, revision)
+	m.newestRevision = max(m.newestRevision, revision)
+}
+
 // AnnounceDraining announces that this daemon is about to stop and gets no new
 // work.
 func (m *Membership) AnnounceDraining() {
@@ -406,25 +416,43 @@
 	}
 	existing := m.members[received.GetName()]
 	if existing != nil && !supersedes(received, existing) {
+		m.raiseRevision(existing, received, now)
 		return false
 	}
 	if existing == nil && received.GetStatus() != schema.Status_STATUS_ALIVE && received.GetStatus() != schema.Status_STATUS_SUSPECT {
 		return false
 	}
-	m.members[received.GetName()] = &Member{
-		Name:        received.GetName(),
-		Zone:        received.GetZone(),
-		Address:     address,
-		Incarnation: received.GetIncarnation(),
-		Status:      received.GetStatus(),
-		Revision:    received.GetRevision(),
-		sequence:    received.GetSequence(),
-		statusSince: now,
-	}
+	member := &Member{
+		Name:          received.GetName(),
+		Zone:          received.GetZone(),
+		Address:       address,
+		Incarnation:   received.GetIncarnation(),
+		Status:        received.GetStatus(),
+		Revision:      received.GetRevision(),
+		RevisionSince: now,
+		sequence:      received.GetSequence(),
+		statusSince:   now,
+	}
+	if existing != nil && existing.Incarnation == member.Incarnation && existing.Revision >= member.Revision {
+		member.Revision, member.RevisionSince = existing.Revision, existing.RevisionSince
+	}
+	m.members[received.GetName()] = member
 	m.queueRumour("member/" + received.GetName())
 	return true
 }
 
+// raiseRevision records a higher revision of a member whose entry is no newer otherwise. It
+// passes on only the first entry with a revision.
+func (m *Membership) raiseRevision(member *Member, received *schema.Member, now time.Time) {
+	if received.GetIncarnation() != member.Incarnation || received.GetRevision() <= member.Revision {
+		return
+	}
+	member.Revision, member.RevisionSince = received.GetRevision(), now
+	if member.Revision > m.newestRevision {
+		m.queueRumour("member/" + member.Name)
+	}
+}
+
 // refute responds to a rumour with a wrong status of this daemon by announcing
 // the daemon with a higher sequence. It ignores a rumour about another incarnation
 // under the same name. It always returns false, because no other member changes.
--- a/internal/gossiper/gossiper_test.go
+++ b/internal/gossiper/gossiper_test.go
@@ -232,3 +232,40 @@
 		t.Errorf("rounds until every member knew the new incarnation got %d or more, want fewer", got)
 	}
 }
+
+// Guards against the entries of all members in the messages of all others after each of them has
+// reported the same revision, which grow with the square of their number.
+func TestRevisionAddsFewRumours(t *testing.T) {
+	const size = 90
+	c := newCluster(size)
+	for range 60 {
+		c.round()
+	}
+	for _, membership := range c.memberships {
+		membership.ReportRevision(9)
+	}
+	for range 2 {
+		c.round()
+	}
+	entries := 0
+	for _, membership := range c.memberships {
+		entries += len(membership.RumoursFor("m000", false, c.now).GetMembers())
+	}
+	if entries > 2*size {
+		t.Errorf("entries in a message of each member got %d, want at most %d", entries, 2*size)
+	}
+}
+
+// Guards against a revision that only the members in contact with the one that has it know.
+func TestReportedRevisionReachesEveryMember(t *testing.T) {
+	c := newCluster(90)
+	c.roundsUntil(joinRounds, func(_ string, m *gossiper.Membership) bool { return serving(m) == 90 })
+	c.memberships["m007"].ReportRevision(9)
+	got := c.roundsUntil(changeRounds, func(name string, m *gossiper.Membership) bool {
+		member, _ := m.Member("m007")
+		return name == "m007" || member.Revision == 9
+	})
+	if got == changeRounds {
+		t.Errorf("rounds until the revision reached every member got %d or more, want fewer", got)
+	}
+}
--- a/internal/prober/prober.go
+++ b/internal/prober/prober.go
@@ -269,11 +269,13 @@
 		// The state's actor may still fill the map.
 		return
 	}
+	var group sync.WaitGroup
 	for _, seed := range p.Seeds() {
 		if !known[seed] {
-			_ = p.Probe(ctx, gossiper.Member{Address: seed}, true)
+			group.Go(func() { _ = p.Probe(ctx, gossiper.Member{Address: seed}, true) })
 		}
 	}
+	group.Wait()
 }
 
 // AnnounceLeaving tells a few members that this daemon is about to stop.
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -246,6 +246,20 @@
 	return failureJitter
 }
 
+// Decided returns a channel that is closed when this daemon has checked for the zone reader.
+func (r *Relayer) Decided() <-chan struct{} {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.decided
+}
+
+// FollowedReader returns the address of the zone reader that this daemon reads from.
+func (r *Relayer) FollowedReader() (address netip.AddrPort, following bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.reader.Address, r.role == Following
+}
+
 // awaitRole waits until this daemon has checked for the zone reader, but not longer
 // than roleWait.
 func (r *Relayer) awaitRole(ctx context.Context) {
@@ -307,9 +321,13 @@
 			return
 		}
 		readers := DecodeReaders(snapshot.Records, r.Logger)
-		r.setOtherReaders(readers)
 		reader := readers[r.Zone]
 		role := r.chooseRole(reader)
+		if role == Claiming {
+			// It has failed.
+			delete(readers, r.Zone)
+		}
+		r.setOtherReaders(readers)
 		if role != Claiming {
 			r.setRole(role, reader)
 			return
@@ -447,6 +465,7 @@
 	r.role = Alone
 	r.closeClients()
 	r.failedReader = reader
+	r.otherReaders = slices.DeleteFunc(r.otherReaders, func(address netip.AddrPort) bool { return address == reader.Address })
 	// After a timeout the view may be too old to wait for the next zone reader.
 	if connect.CodeOf(err) != connect.CodeDeadlineExceeded && r.isDecided() {
 		r.decided = make(chan struct{})
--- a/internal/runner/follow.go
+++ b/internal/runner/follow.go
@@ -18,6 +18,7 @@
 // applyOperatorRecords applies declarations, rollout orders, evacuations and their withdrawal
 // from the operators' topic. It logs and skips an invalid record.
 func (r *Runner) applyOperatorRecords(change subscriber.Change) {
+	r.revisions.setEpoch(change.Epoch)
 	records := r.decodeOperatorRecords(change.Records)
 	// Evacuations come first, because the daemon serves requests from its first declaration on.
 	r.applyEvacuations(newEvacuationChange(change, records))
@@ -60,6 +61,7 @@
 	r.updateOperatorState(func(state *operatorState) { inForce = state.setTable(table) })
 	if inForce {
 		r.setColdServices(declaration.Services)
+		r.revisions.report()
 	}
 	routes, accounts := table.Counts()
 	r.logger.Info("declaration read", "revision", table.Revision, "in_force", inForce, "offset", offset, "routes", routes, "accounts", accounts)
--- a/internal/runner/peers.go
+++ b/internal/runner/peers.go
@@ -42,6 +42,10 @@
 	// coldSharers are the names of the members among which the bounds of cold endpoints are
 	// divided: as expected, but members that are dead stay for coldGrace.
 	coldSharers []string
+	// revision is the highest revision of a declaration in force at another member that can
+	// receive requests, revisionSince when this daemon heard of it. It is 0 if none is known.
+	revision      uint64
+	revisionSince time.Time
 	// otherZone is set if there is a member in another zone, whatever its status.
 	otherZone bool
 }
@@ -60,11 +64,20 @@
 		}
 		if member.Serving() {
 			snapshot.serving = append(snapshot.serving, member)
+			snapshot.addRevision(member, state.Self().Name)
 		}
 	}
 	return snapshot
 }
 
+// addRevision adds the revision in force at a member, unless that is this daemon.
+func (s *memberSnapshot) addRevision(member gossiper.Member, self string) {
+	isFirst := member.Revision == s.revision && member.RevisionSince.Before(s.revisionSince)
+	if member.Name != self && (member.Revision > s.revision || isFirst) {
+		s.revision, s.revisionSince = member.Revision, member.RevisionSince
+	}
+}
+
 // peers keeps this daemon in contact with all other daemons, without the log, and spreads
 // the facts that bind all of them. It implements the Probe call of the PeerService.
 type peers struct {
@@ -160,6 +173,16 @@
 	p.prober.SpreadUrgent()
 }
 
+// reportRevision lets other daemons know the revision of the declaration in force here, unless
+// one of them has a higher one: a daemon that starts would take this daemon to be up to date.
+func (p *peers) reportRevision(revision uint64) {
+	p.members.Enqueue(func(state *gossiper.Membership) {
+		if newMemberSnapshot(state).revision <= revision {
+			state.ReportRevision(revision)
+		}
+	})
+}
+
 // serving returns the members that can receive requests, including this daemon.
 func (p *peers) serving() []gossiper.Member { return p.members.Snapshot().serving }
 
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -145,6 +145,7 @@
 	relayer       *relayer.Relayer
 	peers         *peers
 	contacts      *contacts
+	revisions     *revisions
 	quarantine    *quarantiner.Quarantine
 	// ignoredRecords counts the operators' records that this daemon does not act on.
 	ignoredRecords *metrics.Counter
@@ -225,6 +226,7 @@
 	r.interruptReads(r.operatorTopic, r.endpointTopic, r.rollouts.statusTopic, r.rollouts.resultsTopic)
 	r.shareReads()
 	r.contacts = newContacts(r)
+	r.revisions = newRevisions(r)
 	r.peers = newPeers(r, r.applyFacts)
 	return r, r.listen()
 }
--- a/internal/runner/view.go
+++ b/internal/runner/view.go
@@ -15,10 +15,11 @@
 // View implements forwarder.ControlPlane.
 func (r *Runner) View() forwarder.View {
 	age, verified := r.operatorTopic.VerifiedAge()
+	table := r.table()
 	view := forwarder.View{
-		Table: r.table(),
+		Table: table,
 		Age:   age,
-		Fresh: verified && age < time.Duration(freshnessShare*float64(r.settings.Load().RevokeDeadline)),
+		Fresh: verified && age < time.Duration(freshnessShare*float64(r.settings.Load().RevokeDeadline)) && !r.revisions.isOutdated(table, age),
 	}
 	if times := r.stopTimes.Load(); times != nil {
 		view.Draining = true
