--- a/internal/runner/contacts.go
+++ b/internal/runner/contacts.go
@@ -6,13 +6,13 @@
 	"sync"
 	"time"
 
+	"quetzalgrade.example/quetzalgrade/internal/gossiper"
 	"quetzalgrade.example/quetzalgrade/internal/relayer"
 	"quetzalgrade.example/quetzalgrade/internal/subscriber"
 )
 
 const (
-	// contactInterval is the time between two exchanges of contacts, and until the first. A
-	// daemon that starts has more urgent reads.
+	// contactInterval is the time between two exchanges of contacts.
 	contactInterval = 2500 * time.Millisecond
 	// contactTimeout bounds one exchange.
 	contactTimeout = time.Second
@@ -20,6 +20,11 @@
 	maxContactReads = 5
 	// contactRefresh is the time between two exchanges of contacts after that.
 	contactRefresh = 30 * time.Second
+	// joinInterval is the time between two attempts to join after the start, joinTimeout bounds
+	// one within the zone, maxJoinTime all of them: a zone may be cut off from the others.
+	joinInterval = 100 * time.Millisecond
+	joinTimeout  = 150 * time.Millisecond
+	maxJoinTime  = 3 * time.Second
 )
 
 // contacts finds a daemon in each other zone, through which the zones join. Each zone
@@ -33,6 +38,9 @@
 	// its record was last found or written. Only run uses them.
 	published   bool
 	publishedIn subscriber.Epoch
+	// reads and readAt are the number of exchanges and when the last was made. Only run uses them.
+	reads  int
+	readAt time.Time
 
 	mu        sync.Mutex
 	addresses []netip.AddrPort
@@ -52,10 +60,10 @@
 
 // run exchanges contacts until ctx ends, and returns the error of ctx.
 func (c *contacts) run(ctx context.Context) error {
+	c.join(ctx)
+	c.revisions.setJoined()
 	ticker := time.NewTicker(contactInterval)
 	defer ticker.Stop()
-	reads := 0
-	var readAt time.Time
 	epoch := c.logEpoch()
 	for {
 		select {
@@ -63,10 +71,9 @@
 		case <-ctx.Done():
 			return ctx.Err()
 		}
-		// A daemon that has lost its zone reader leaves the contacts to the next one.
-		isContact := c.relayer.Reads() || len(c.peers.serving()) <= 1 && !c.relayer.Following()
 		current := c.logEpoch()
-		if !isContact || current == epoch && !contactsDue(reads, c.peers.knowsOtherZone(), time.Since(readAt)) {
+		isDue := current != epoch || contactsDue(c.reads, c.peers.knowsOtherZone(), time.Since(c.readAt))
+		if !c.isContact() || !isDue {
 			continue
 		}
 		if err := c.exchange(ctx); err != nil {
@@ -74,12 +81,45 @@
 			continue
 		}
 		epoch = current
-		readAt = time.Now()
-		reads++
-		c.peers.prober.Join(ctx)
 	}
 }
 
+// join returns when this daemon knows the revision in force at others, or that it can know
+// none. It takes no longer than maxJoinTime.
+func (c *contacts) join(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, maxJoinTime)
+	defer cancel()
+	select {
+	case <-c.relayer.Decided():
+	case <-ctx.Done():
+	}
+	for ctx.Err() == nil && c.peers.members.Snapshot().revision == 0 {
+		if reader, following := c.relayer.FollowedReader(); following {
+			c.probe(ctx, reader)
+		} else if _, _, err := c.readContacts(ctx); err == nil {
+			c.peers.prober.Join(ctx)
+			return
+		}
+		select {
+		case <-time.After(joinInterval):
+		case <-ctx.Done():
+		}
+	}
+}
+
+// probe joins through the zone reader, which may be down.
+func (c *contacts) probe(ctx context.Context, reader netip.AddrPort) {
+	ctx, cancel := context.WithTimeout(ctx, joinTimeout)
+	defer cancel()
+	_ = c.peers.prober.Probe(ctx, gossiper.Member{Address: reader}, true)
+}
+
+// isContact reports whether this daemon exchanges contacts for its zone. One that has lost its
+// zone reader leaves them to the next one.
+func (c *contacts) isContact() bool {
+	return c.relayer.Reads() || len(c.peers.serving()) <= 1 && !c.relayer.Following()
+}
+
 // contactsDue reports whether a zone reader exchanges contacts now, after a number of reads
 // of which the last was some time ago. A zone may know some zones, but not all, before it
 // has read any contact.
@@ -87,42 +127,34 @@
 	return reads == 0 || reads < maxContactReads && !knowsOtherZone || sinceRead >= contactRefresh
 }
 
-// exchange names this daemon in the log, unless that is done, and reads the contacts of
-// the other zones.
+// exchange names this daemon in the log, unless the log still does, and joins the daemons of the
+// other zones that the log names.
 func (c *contacts) exchange(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, contactTimeout)
-	defer cancel()
 	if !c.published {
 		if err := c.publish(ctx); err != nil {
 			return err
 		}
 	}
-	snapshot, err := c.deps.ContactTopic.Newest(ctx)
+	contacts, epoch, err := c.readContacts(ctx)
 	if err != nil {
 		return err
 	}
-	contacts := relayer.DecodeReaders(snapshot.Records, c.logger)
-	zone := c.settings.Load().Zone
-	if c.isLost(contacts, zone, snapshot.Next.Epoch) {
+	if c.isLost(contacts, epoch) {
 		if err := c.publish(ctx); err != nil {
 			return err
 		}
 	}
-	c.publishedIn = snapshot.Next.Epoch
-	var addresses []netip.AddrPort
-	for other, contact := range contacts {
-		if other != zone {
-			addresses = append(addresses, contact.Address)
-		}
-	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.addresses = addresses
+	c.publishedIn = epoch
+	c.readAt = time.Now()
+	c.reads++
+	c.peers.prober.Join(ctx)
 	return nil
 }
 
 // publish names this daemon in the log as the contact of its zone.
 func (c *contacts) publish(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, contactTimeout)
+	defer cancel()
 	value, err := c.self.Encode()
 	if err != nil {
 		return err
@@ -137,7 +169,30 @@
 // isLost reports whether the log has lost the record of this daemon: it names nobody for the zone,
 // or an earlier daemon after a restore. Without one, another daemon of the zone may have replaced
 // the record.
-func (c *contacts) isLost(contacts map[string]relayer.ZoneReader, zone string, epoch subscriber.Epoch) bool {
-	contact, found := contacts[zone]
+func (c *contacts) isLost(contacts map[string]relayer.ZoneReader, epoch subscriber.Epoch) bool {
+	contact, found := contacts[c.settings.Load().Zone]
 	return !found || c.publishedIn != 0 && epoch != c.publishedIn && contact != c.self
 }
+
+// readContacts reads the contacts of all zones, and keeps the addresses of the other ones. It
+// returns the contacts and the log's epoch.
+func (c *contacts) readContacts(ctx context.Context) (map[string]relayer.ZoneReader, subscriber.Epoch, error) {
+	ctx, cancel := context.WithTimeout(ctx, contactTimeout)
+	defer cancel()
+	snapshot, err := c.deps.ContactTopic.Newest(ctx)
+	if err != nil {
+		return nil, 0, err
+	}
+	contacts := relayer.DecodeReaders(snapshot.Records, c.logger)
+	zone := c.settings.Load().Zone
+	var addresses []netip.AddrPort
+	for other, contact := range contacts {
+		if other != zone {
+			addresses = append(addresses, contact.Address)
+		}
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.addresses = addresses
+	return contacts, snapshot.Next.Epoch, nil
+}
