Extend the grace of lost endpoints while the log is away again

What callers saw: requests were refused although their endpoints were alive.

Cause: an endpoint whose registration the log has lost is kept for 2.05 s, counted from the first read after the outage or the restore. If the log went away again in that time, the endpoint could not register, and was dropped while nobody could know more.

Change: when the grace of an endpoint is over, the tracker asks whether the log is away, or back for less than that time, and extends the grace.

--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -224,6 +224,7 @@
 	}
 	r.endpointTopic = subscriber.New("endpoints", deps.EndpointTopic, endpointTiming, deps.Clock, r.applyRegistrations, r.logger)
 	r.quarantine = quarantiner.New(r.logQuarantine)
+	r.tracker.SetOutageGrace(r.remainingGrace)
 	for _, topic := range []*subscriber.Subscriber{r.endpointTopic, r.rollouts.statusTopic, r.rollouts.resultsTopic} {
 		topic.FollowOutages(r.operatorTopic)
 	}
--- a/internal/tracker/tracker.go
+++ b/internal/tracker/tracker.go
@@ -124,11 +124,14 @@
 	drained drainedEndpoints
 	// evacuated holds the availability zones whose endpoints get no requests.
 	evacuated map[string]bool
-	zone      string
-	random    *rand.Rand
-	now       func() time.Time
-	logger    hclog.Logger
-	ejections uint64
+	// outageGrace returns how much longer a missing registration may be due to an outage of
+	// the log.
+	outageGrace func() time.Duration
+	zone        string
+	random      *rand.Rand
+	now         func() time.Time
+	logger      hclog.Logger
+	ejections   uint64
 }
 
 // New returns a tracker without endpoints for a daemon in the zone. Both random
@@ -145,6 +148,7 @@
 		limits:            map[string]*limitState{},
 		colds:             map[string]*coldState{},
 		coldShare:         func(string, float64) float64 { return 0 },
+		outageGrace:       func() time.Duration { return 0 },
 		notices:           map[string]*notice{},
 		drained:           drainedEndpoints{byID: map[string]drainedEndpoint{}},
 		share:             func(_ string, perSecond float64) float64 { return perSecond },
@@ -267,6 +271,7 @@
 	if endpoint.Draining || endpoint.misdirected || t.leaving(endpoint) {
 		return false
 	}
+	t.extendGrace(endpoint, now)
 	if !endpoint.removeAt.IsZero() && now.After(endpoint.removeAt) {
 		t.logChange("endpoint removed", endpoint.Registration)
 		delete(t.endpoints, endpoint.ID)
@@ -275,6 +280,25 @@
 	return true
 }
 
+// SetOutageGrace sets the function that returns how much longer a missing registration may be due
+// to an outage of the log. It is called while the tracker's lock is held.
+func (t *Tracker) SetOutageGrace(remaining func() time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.outageGrace = remaining
+}
+
+// extendGrace extends the grace period of an endpoint, if it has one, when the log has gone away
+// again before the endpoint could register.
+func (t *Tracker) extendGrace(endpoint *endpointState, now time.Time) {
+	if endpoint.removeAt.IsZero() || !now.After(endpoint.removeAt) {
+		return
+	}
+	if grace := t.outageGrace(); grace > 0 {
+		endpoint.removeAt = now.Add(grace)
+	}
+}
+
 // Serving reports whether an endpoint is registered, not draining and not leaving.
 func (t *Tracker) Serving(id string) bool {
 	t.mu.Lock()
