Don't read with a negative wait at the end of a hold

Cause: readOnce bounds the wait of a read by the rest of the hold, after the read from the peer, which may take 2.15 s. If the hold ends meanwhile, the rest is negative. The log got a negative waitMs, and the response that much less time than its slack (TestWaitAtEndOfHold failed before: shortest wait got -600ms, want none below 0).

Change: the wait is at least 0.

Why it works: a read that does not wait ends at once, and the next round reads all keys, since the hold is over.

--- a/internal/subscriber/restore_test.go
+++ b/internal/subscriber/restore_test.go
@@ -12,6 +12,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/go-faster/errors"
 	"github.com/hashicorp/go-hclog"
 
 	"quetzalgrade.example/quetzalgrade/internal/subscriber"
@@ -695,3 +696,43 @@
 		checkValues(t, "after the hold", topic.values(), map[string]string{})
 	})
 }
+
+// waitSource records the shortest wait of the reads of a log.
+type waitSource struct {
+	*restorableLog
+	shortest atomic.Int64
+}
+
+func (s *waitSource) Read(ctx context.Context, from int64, wait time.Duration) (subscriber.Page, error) {
+	s.shortest.Store(min(s.shortest.Load(), int64(wait)))
+	return s.restorableLog.Read(ctx, from, max(wait, 0))
+}
+
+// slowPeer fails each read after a while.
+type slowPeer struct{ topicPeer }
+
+func (slowPeer) Read(context.Context, string, subscriber.Position) (subscriber.Page, time.Duration, error) {
+	const readTime = 2150 * time.Millisecond
+	time.Sleep(readTime)
+	return subscriber.Page{}, 0, errors.New("timeout")
+}
+
+// TestWaitAtEndOfHold guards against a read with a negative wait when the hold ends during the read
+// from the peer.
+func TestWaitAtEndOfHold(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := newRestorableLog()
+		source := &waitSource{restorableLog: log}
+		log.put("a", "1")
+		log.put("b", "1")
+		reader := startTopic(t, log, nil)
+		time.Sleep(3 * time.Second)
+		startTopicWithPeer(t, source, slowPeer{topicPeer{other: reader}})
+		time.Sleep(10 * time.Second)
+		log.restore(1)
+		time.Sleep(2 * holdEnd)
+		if got := time.Duration(source.shortest.Load()); got < 0 {
+			t.Errorf("shortest wait of a read got %v, want none below 0", got)
+		}
+	})
+}
--- a/internal/subscriber/subscriber.go
+++ b/internal/subscriber/subscriber.go
@@ -250,7 +250,8 @@
 		wait = 0
 	}
 	if s.isHolding() {
-		wait = min(wait, s.holdUntil-s.clock())
+		// The hold may have ended during the read from the peer.
+		wait = max(0, min(wait, s.holdUntil-s.clock()))
 	}
 	s.afterPeer = false
 	page, waited, err := s.readSource(ctx, wait)
