Pass a deletion on to followers that notice the restore later

Cause: the zone reader drops the key of a deletion that it reads, so its view lacks the key. A follower that merges this view later takes the key for lost and keeps it for the 10 s of its hold.

Change: for 10 s after a daemon notices a restore, its newest records hold the deletions that it reads, as records without a value of the current epoch. The first read after that drops them. This goes by the clock and not by the lost keys: the deletion may be that of the last lost key.

TestDeletionsAreNotKept shows that none are left after the time. A follower frozen for more than 10 s after its reader noticed the restore is not helped.

--- a/internal/subscriber/merge.go
+++ b/internal/subscriber/merge.go
@@ -8,7 +8,7 @@
 // mergeResult is what is known of a topic after all its keys were read again.
 type mergeResult struct {
 	// newest holds the newest record of each key. One without a value is a deletion that the
-	// log has lost; keys of other deletions are left out.
+	// log has lost or that a peer has read after the restore; keys of others are left out.
 	newest map[string]Record
 	// changed holds the records that replace what was known, and deletions.
 	changed []Record
--- a/internal/subscriber/merge_test.go
+++ b/internal/subscriber/merge_test.go
@@ -122,6 +122,14 @@
 			past: []Record{record("k", "a", 3, 1)}, snapshot: []Record{record("k", "a", 3, 1)},
 			want: map[string]content{"k": kept("", 4, 1)}, wantLost: []string{"k"},
 		},
+		"peer has read a deletion after the restore": {
+			known: []Record{record("k", "a", 3, 1)}, snapshot: []Record{record("k", "", 4, 2)},
+			want: map[string]content{"k": kept("", 4, 2)}, wantChanged: []string{"k="},
+		},
+		"deletion after the restore that the next copy lacks": {
+			known: []Record{record("k", "", 4, 2)}, past: []Record{record("k", "a", 3, 1)}, from: Position{2, 5}, snapshot: []Record{record("k", "a", 3, 3)}, next: Position{3, 4},
+			want: map[string]content{"k": kept("", 4, 2)}, wantLost: []string{"k"},
+		},
 		"peer has kept a deletion that was not read": {
 			known: []Record{record("k", "a", 3, 1)}, snapshot: []Record{record("k", "", 4, 1)},
 			want: map[string]content{"k": kept("", 4, 1)}, wantChanged: []string{"k="}, wantLost: []string{"k"},
--- a/internal/subscriber/newest.go
+++ b/internal/subscriber/newest.go
@@ -100,7 +100,7 @@
 func (s *Subscriber) loadNewest(snapshot Snapshot, verifiedAt time.Duration) {
 	s.hasRead = true
 	s.setNext(snapshot.Next)
-	// A peer's snapshot holds deletions that the log has lost.
+	// A peer's snapshot holds deletions for some time after a restore.
 	records := slices.DeleteFunc(slices.Clone(snapshot.Records), func(record Record) bool { return len(record.Value) == 0 })
 	s.handle(Change{Complete: true, Records: records, Next: snapshot.Next.Offset, Epoch: snapshot.Next.Epoch})
 	s.recordVerifiedRead(verifiedAt, true)
@@ -116,6 +116,7 @@
 		s.logger.Info("log was restored from an older copy; what it has lost stays for a while", "topic", s.name, "epoch", uint64(snapshot.Next.Epoch), "epoch_before", uint64(from.Epoch),
 			"offset", snapshot.Next.Offset, "offset_before", from.Offset, "new", len(merged.changed), "lost", len(merged.lost))
 		s.endOutage()
+		s.window.keepDeletions(s.clock() + holdTime)
 	}
 	s.setLost(merged.lost, isRestored)
 	s.handle(Change{Records: merged.changed, Next: snapshot.Next.Offset, Epoch: snapshot.Next.Epoch, Lost: merged.lost})
--- a/internal/subscriber/restore_test.go
+++ b/internal/subscriber/restore_test.go
@@ -736,3 +736,103 @@
 		}
 	})
 }
+
+// frozenPeer responds to reads only while it is not frozen.
+type frozenPeer struct {
+	topicPeer
+	frozen *atomic.Bool
+}
+
+func (p frozenPeer) Read(ctx context.Context, topic string, from subscriber.Position) (subscriber.Page, time.Duration, error) {
+	for p.frozen.Load() {
+		time.Sleep(10 * time.Millisecond)
+	}
+	return p.topicPeer.Read(ctx, topic, from)
+}
+
+// TestDeletionReadByReaderFirst guards against a key that stays in force at a follower although it
+// was deleted after the restore: the reader has read the deletion before the follower asks.
+func TestDeletionReadByReaderFirst(t *testing.T) {
+	rows := map[string]struct {
+		// count is the number of records that the log keeps, out of a, b and c.
+		count   int
+		rewrite func(l *restorableLog)
+		want    map[string]string
+	}{
+		"only lost key":         {2, func(l *restorableLog) { l.put("c", "") }, map[string]string{"a": "1", "b": "1"}},
+		"one of two lost keys":  {1, func(l *restorableLog) { l.put("b", "") }, map[string]string{"a": "1", "c": "1"}},
+		"key that the log has":  {2, func(l *restorableLog) { l.put("b", "") }, map[string]string{"a": "1", "c": "1"}},
+		"deleted and put again": {2, func(l *restorableLog) { l.put("c", ""); l.put("c", "2") }, map[string]string{"a": "1", "b": "1", "c": "2"}},
+	}
+	for name, row := range rows {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				log := newRestorableLog()
+				for _, key := range []string{"a", "b", "c"} {
+					log.put(key, "1")
+				}
+				reader := startTopic(t, log, nil)
+				frozen := &atomic.Bool{}
+				follower := startTopicWithPeer(t, log, frozenPeer{topicPeer{other: reader}, frozen})
+				time.Sleep(3 * time.Second)
+				frozen.Store(true)
+				time.Sleep(2 * time.Second)
+				log.restore(row.count)
+				time.Sleep(2 * time.Second)
+				row.rewrite(log)
+				time.Sleep(2 * time.Second)
+				frozen.Store(false)
+				time.Sleep(4 * time.Second)
+				late := startTopic(t, log, follower)
+				time.Sleep(time.Second)
+				topics := map[string]*testTopic{"reader": reader, "follower": follower, "started during the hold": late}
+				for name, topic := range topics {
+					checkValues(t, name, topic.values(), row.want)
+				}
+				time.Sleep(2 * holdEnd)
+				for name, topic := range topics {
+					checkValues(t, name+" after the hold", topic.values(), log.values())
+					checkNoDeletions(t, name, topic)
+				}
+			})
+		})
+	}
+}
+
+// checkNoDeletions reports deletions among the newest records that a topic passes on.
+func checkNoDeletions(t *testing.T, name string, topic *testTopic) {
+	t.Helper()
+	snapshot, err := topic.Snapshot(t.Context(), time.Second)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, record := range snapshot.Records {
+		if len(record.Value) == 0 {
+			t.Errorf("%s: snapshot after the hold got a deletion of %q, want none", name, record.Key)
+		}
+	}
+}
+
+// TestDeletionsAreNotKept guards against deletions that gather in the snapshots for other daemons
+// after the time in which a follower may notice a restore.
+func TestDeletionsAreNotKept(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := newRestorableLog()
+		log.put("k", "a")
+		reader := startTopic(t, log, nil)
+		topics := map[string]*testTopic{"reader": reader, "follower": startTopic(t, log, reader)}
+		time.Sleep(time.Second)
+		log.restore(1)
+		// The deletions begin before the time is over and go on after it.
+		for i := range 40 {
+			time.Sleep(500 * time.Millisecond)
+			log.put(fmt.Sprint("gone", i), "a")
+			log.put(fmt.Sprint("gone", i), "")
+		}
+		time.Sleep(2 * time.Second)
+		for name, topic := range topics {
+			checkNoDeletions(t, name, topic)
+			checkValues(t, name, topic.values(), map[string]string{"k": "a"})
+		}
+	})
+}
--- a/internal/subscriber/window.go
+++ b/internal/subscriber/window.go
@@ -40,8 +40,11 @@
 type window struct {
 	mu sync.Mutex
 	// newest holds the newest record of each key, without deleted keys. A record without a value
-	// is a deletion that the log has lost in a restore.
+	// is a deletion that the log has lost in a restore, or one that was read after it.
 	newest map[string]Record
+	// deletionsUntil is until when newest keeps the deletions that are read: followers that notice
+	// the restore later would take the key for lost. It is 0 if newest keeps none.
+	deletionsUntil time.Duration
 	// past holds records that newest held before.
 	past    past
 	records []Record
@@ -75,6 +78,30 @@
 		}
 		w.newest = newest
 		w.empty(next, verifiedAt)
+		if !w.keepsDeletions(verifiedAt) {
+			w.dropDeletions()
+		}
+	})
+}
+
+// keepDeletions makes the newest records hold deletions that are read before the given time.
+func (w *window) keepDeletions(until time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.deletionsUntil = until
+}
+
+// keepsDeletions reports whether the newest records hold deletions that are read at the given time.
+// The caller holds the mutex.
+func (w *window) keepsDeletions(at time.Duration) bool {
+	return w.deletionsUntil != 0 && at < w.deletionsUntil
+}
+
+// dropDeletions drops the deletions that the log has not lost. The caller holds the mutex.
+func (w *window) dropDeletions() {
+	w.deletionsUntil = 0
+	maps.DeleteFunc(w.newest, func(_ string, record Record) bool {
+		return len(record.Value) == 0 && !record.Epoch.before(w.next.Epoch)
 	})
 }
 
@@ -88,12 +115,16 @@
 }
 
 // addNewest updates the newest records of their keys. The caller holds the mutex.
-func (w *window) addNewest(records []Record) {
+func (w *window) addNewest(records []Record, verifiedAt time.Duration) {
+	keepsDeletions := w.keepsDeletions(verifiedAt)
+	if w.deletionsUntil != 0 && !keepsDeletions {
+		w.dropDeletions()
+	}
 	for _, record := range records {
 		if replaced, found := w.newest[record.Key]; found {
 			w.past.add(replaced)
 		}
-		if len(record.Value) == 0 {
+		if len(record.Value) == 0 && !keepsDeletions {
 			delete(w.newest, record.Key)
 			continue
 		}
@@ -124,7 +155,7 @@
 // no records until one does.
 func (w *window) skipTo(records []Record, next Position, verifiedAt time.Duration) {
 	w.update(func() {
-		w.addNewest(records)
+		w.addNewest(records, verifiedAt)
 		w.empty(next, verifiedAt)
 		w.failing, w.silent = true, false
 	})
@@ -134,7 +165,7 @@
 // Everything appended before verifiedAt has been read.
 func (w *window) appendRecords(records []Record, next Position, verifiedAt time.Duration) {
 	w.update(func() {
-		w.addNewest(records)
+		w.addNewest(records, verifiedAt)
 		for _, record := range records {
 			w.records = append(w.records, record)
 			w.bytes += len(record.Value)
