Count the hold of a daemon that starts from when its reader noticed the restore

Cause: a daemon that starts during the hold took what the log has lost from its zone reader and began all times anew: 10 s of hold, which it passed on to daemons that started later, and the grace of lost endpoints. Callers saw what nobody wants any more for as long as daemons started one after the other (TestHoldOfDaemonsThatStart failed before: with five starts 9 s apart the lost key was there after 45.5 s, want it gone; SinceOutage got 0s at each start).

A daemon that starts counts its hold, the end of the outage and the deletions that it keeps from then. A daemon that merges with what it knows itself counts from its own notice, as before.

Why it works: the time goes from daemon to daemon, so no start moves the end of the hold. Without the field, from a daemon of an earlier version, the times begin at the start, as before.

--- a/internal/relayer/snapshot.go
+++ b/internal/relayer/snapshot.go
@@ -42,6 +42,8 @@
 		return subscriber.Snapshot{}, 0, err
 	}
 	snapshot.Next = subscriber.Position{Epoch: subscriber.Epoch(message.GetEpoch()), Offset: message.GetNext()}
+	// Daemons of an earlier version don't say.
+	snapshot.SinceRestore = max(0, message.GetSinceRestore().AsDuration())
 	if snapshot.Records, err = unpackRecords(message.GetRecords(), snapshot.Next.Epoch); err != nil {
 		return subscriber.Snapshot{}, 0, err
 	}
@@ -58,6 +60,8 @@
 	next       subscriber.Position
 	verifiedAt time.Duration
 	encodedAt  time.Duration
+	// sinceRestore is the snapshot's time since the log's restore, or 0 if none is known.
+	sinceRestore time.Duration
 }
 
 func newSnapshotCache() *snapshotCache { return &snapshotCache{lock: make(chan struct{}, 1)} }
@@ -95,9 +99,13 @@
 		if c.encoded, err = packRecords(snapshot.Records, snapshot.Next.Epoch); err != nil {
 			return nil, err
 		}
-		c.next, c.verifiedAt, c.encodedAt = snapshot.Next, snapshot.VerifiedAt, clock()
+		c.next, c.verifiedAt, c.encodedAt, c.sinceRestore = snapshot.Next, snapshot.VerifiedAt, clock(), snapshot.SinceRestore
 	}
-	return &schema.SnapshotResponse{Records: c.encoded, Next: c.next.Offset, Epoch: uint64(c.next.Epoch), Age: durationpb.New(clock() - c.verifiedAt)}, nil
+	response := &schema.SnapshotResponse{Records: c.encoded, Next: c.next.Offset, Epoch: uint64(c.next.Epoch), Age: durationpb.New(clock() - c.verifiedAt)}
+	if c.sinceRestore > 0 {
+		response.SinceRestore = durationpb.New(c.sinceRestore + clock() - c.encodedAt)
+	}
+	return response, nil
 }
 
 // packRecords encodes and compresses the records of a message of the epoch.
--- /dev/null
+++ b/internal/relayer/snapshot_test.go
@@ -0,0 +1,69 @@
+package relayer
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"quetzalgrade.example/quetzalgrade/internal/subscriber"
+)
+
+// restoredSource is a topic without records of a log that is restored after a second.
+type restoredSource struct{ start time.Time }
+
+func (s restoredSource) epoch() subscriber.Epoch {
+	if time.Since(s.start) < time.Second {
+		return 1
+	}
+	return 2
+}
+
+func (s restoredSource) Newest(context.Context) (subscriber.Snapshot, error) {
+	return subscriber.Snapshot{Next: subscriber.Position{Epoch: s.epoch()}}, nil
+}
+
+func (s restoredSource) Read(_ context.Context, _ int64, wait time.Duration) (subscriber.Page, error) {
+	time.Sleep(wait)
+	return subscriber.Page{Epoch: s.epoch()}, nil
+}
+
+// TestSinceRestoreOfSnapshot guards against the time since the log's restore standing still in an
+// encoded snapshot that serves many requests, and against a restore that the log did not have.
+func TestSinceRestoreOfSnapshot(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		start := time.Now()
+		clock := func() time.Duration { return time.Since(start) }
+		timing := subscriber.ReadTiming{Wait: 100 * time.Millisecond}
+		topic := subscriber.New("t", restoredSource{start}, timing, clock, func(subscriber.Change) {}, hclog.NewNullLogger())
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			_ = topic.Run(ctx)
+		}()
+		defer func() {
+			cancel()
+			<-done
+		}()
+		cache := newSnapshotCache()
+		// The restore is noticed at 1 s; snapshots are encoded at 0.55, 1.55 and 4.55 s.
+		for _, row := range []struct{ at, want time.Duration }{
+			{550 * time.Millisecond, 0},
+			{1550 * time.Millisecond, 550 * time.Millisecond},
+			{3050 * time.Millisecond, 2050 * time.Millisecond},
+			{4550 * time.Millisecond, 3550 * time.Millisecond},
+		} {
+			time.Sleep(row.at - clock())
+			response, err := cache.response(t.Context(), topic, clock)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if got := response.GetSinceRestore().AsDuration(); got != row.want || (row.want == 0) != (response.SinceRestore == nil) {
+				t.Errorf("time since the restore at %v got %v, want %v", row.at, got, row.want)
+			}
+		}
+	})
+}
--- a/internal/subscriber/freshness.go
+++ b/internal/subscriber/freshness.go
@@ -33,12 +33,12 @@
 	return s.clock() - s.recoveredAt, s.hasRecovered
 }
 
-// endOutage counts this moment as the end of an outage: after a restore of the log, as after an
+// endOutage counts the given time as the end of an outage: after a restore of the log, as after an
 // outage, endpoints write their registrations again.
-func (s *Subscriber) endOutage() {
+func (s *Subscriber) endOutage(at time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.recoveredAt, s.hasRecovered = s.clock(), true
+	s.recoveredAt, s.hasRecovered = at, true
 }
 
 func (s *Subscriber) isFailing() bool {
--- a/internal/subscriber/hold.go
+++ b/internal/subscriber/hold.go
@@ -16,6 +16,24 @@
 // holds reports whether keys are lost and stay known.
 func (s *Subscriber) holds() bool { return s.isHolding() && s.clock() < s.holdUntil }
 
+// recordRestore records when the log's restore was noticed.
+func (s *Subscriber) recordRestore(at time.Duration) {
+	s.mu.Lock()
+	s.restoredAt, s.hasRestored = at, true
+	s.mu.Unlock()
+	s.window.keepDeletions(at + holdTime)
+}
+
+// sinceRestore returns the time since the log's last restore was noticed, or 0 if none is known.
+func (s *Subscriber) sinceRestore() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.hasRestored {
+		return 0
+	}
+	return s.clock() - s.restoredAt
+}
+
 // setLost sets the lost keys. A hold begins, or begins again, if there are some.
 func (s *Subscriber) setLost(lost []string, again bool) {
 	wasHolding := s.isHolding()
--- a/internal/subscriber/newest.go
+++ b/internal/subscriber/newest.go
@@ -52,14 +52,23 @@
 	return true
 }
 
-// errPeerBehind is the error of a peer's snapshot that ends before this daemon's position.
-var errPeerBehind = errors.New("peer has read less of the topic")
+// Errors of a peer's snapshot that is not applied.
+var (
+	// errPeerBehind is the error of one that ends before this daemon's position.
+	errPeerBehind = errors.New("peer has read less of the topic")
+	// errHeldTooLong is the error of one that holds what the log has lost although the hold is
+	// over. It lacks what the log shows instead.
+	errHeldTooLong = errors.New("peer still holds what the log has lost")
+)
 
 // checkPeerSnapshot returns an error unless the snapshot continues what has been read.
 func (s *Subscriber) checkPeerSnapshot(snapshot Snapshot) error {
 	if snapshot.Next.Epoch != 0 && snapshot.Next.Epoch == s.epoch && snapshot.Next.Offset < s.nextOffset {
 		return errPeerBehind
 	}
+	if !s.hasRead && snapshot.SinceRestore >= holdTime && len(lostKeys(snapshot.Records, snapshot.Next.Epoch)) > 0 {
+		return errHeldTooLong
+	}
 	return s.checkEpoch(snapshot.Next.Epoch)
 }
 
@@ -74,8 +83,7 @@
 	lost := lostKeys(snapshot.Records, snapshot.Next.Epoch)
 	switch {
 	case !s.hasRead:
-		s.loadNewest(snapshot, verifiedAt)
-		s.takeLost(snapshot.Next, lost)
+		s.loadFirst(snapshot, lost, verifiedAt)
 	case isRestored || s.holds() || !s.isHolding() && len(lost) > 0:
 		s.mergeNewest(from, snapshot, verifiedAt)
 	case len(lost) > 0:
@@ -115,8 +123,9 @@
 	if isRestored {
 		s.logger.Info("log was restored from an older copy; what it has lost stays for a while", "topic", s.name, "epoch", uint64(snapshot.Next.Epoch), "epoch_before", uint64(from.Epoch),
 			"offset", snapshot.Next.Offset, "offset_before", from.Offset, "new", len(merged.changed), "lost", len(merged.lost))
-		s.endOutage()
-		s.window.keepDeletions(s.clock() + holdTime)
+		restoredAt := s.clock()
+		s.endOutage(restoredAt)
+		s.recordRestore(restoredAt)
 	}
 	s.setLost(merged.lost, isRestored)
 	s.handle(Change{Records: merged.changed, Next: snapshot.Next.Offset, Epoch: snapshot.Next.Epoch, Lost: merged.lost})
@@ -124,12 +133,20 @@
 	s.window.load(merged.newest, snapshot.Next, verifiedAt)
 }
 
-// takeLost begins the hold of a daemon that starts and gets from its peer what the log has lost.
-func (s *Subscriber) takeLost(next Position, lost []string) {
+// loadFirst loads the first newest records of a daemon that starts. If its peer shows what the log
+// has lost, the daemon's hold ends with that of the peer: daemons that start one after the other
+// would otherwise hold it on and on.
+func (s *Subscriber) loadFirst(snapshot Snapshot, lost []string, verifiedAt time.Duration) {
+	restoredAt := s.clock() - snapshot.SinceRestore
+	if snapshot.SinceRestore > 0 || len(lost) > 0 {
+		s.recordRestore(restoredAt)
+	}
+	s.loadNewest(snapshot, verifiedAt)
 	if len(lost) == 0 {
 		return
 	}
-	s.endOutage()
+	s.endOutage(restoredAt)
 	s.setLost(lost, true)
-	s.handle(Change{Next: next.Offset, Epoch: next.Epoch, Lost: lost})
+	s.holdUntil = restoredAt + holdTime
+	s.handle(Change{Next: snapshot.Next.Offset, Epoch: snapshot.Next.Epoch, Lost: lost})
 }
--- a/internal/subscriber/restore_test.go
+++ b/internal/subscriber/restore_test.go
@@ -836,3 +836,98 @@
 		}
 	})
 }
+
+// TestHoldOfDaemonsThatStart guards against what the log has lost staying for long, and against
+// lost endpoints that get their grace again, because each daemon that starts takes it over from the
+// one before.
+func TestHoldOfDaemonsThatStart(t *testing.T) {
+	rows := map[string]struct {
+		pause  time.Duration
+		starts int
+		// want are the values after the last start.
+		want map[string]string
+	}{
+		"9 s apart":             {9 * time.Second, 5, map[string]string{"a": "1"}},
+		"3 s apart, until 9 s":  {3 * time.Second, 3, map[string]string{"a": "1", "b": "1"}},
+		"3 s apart, until 12 s": {3 * time.Second, 4, map[string]string{"a": "1"}},
+	}
+	for name, row := range rows {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				log := newRestorableLog()
+				log.put("a", "1")
+				log.put("b", "1")
+				topic := startTopic(t, log, nil)
+				time.Sleep(3 * time.Second)
+				log.restore(1)
+				restoredAt := time.Now()
+				for range row.starts {
+					time.Sleep(row.pause)
+					topic = startTopic(t, log, topic)
+					synctest.Wait()
+					elapsed, ok := topic.SinceOutage()
+					if want := time.Since(restoredAt); topic.LostKeys() > 0 && (!ok || elapsed < want-time.Second || elapsed > want) {
+						t.Errorf("SinceOutage() of a daemon that started %v after the restore got %v, %t, want the time since it was seen", want, elapsed, ok)
+					}
+				}
+				time.Sleep(500 * time.Millisecond)
+				checkValues(t, "after the last start", topic.values(), row.want)
+				time.Sleep(holdEnd)
+				checkValues(t, "after the hold", topic.values(), log.values())
+			})
+		})
+	}
+}
+
+// snapshotPeer shows one snapshot of all keys, and serves no reads.
+type snapshotPeer struct{ snapshot subscriber.Snapshot }
+
+func (snapshotPeer) Read(context.Context, string, subscriber.Position) (subscriber.Page, time.Duration, error) {
+	return subscriber.Page{}, 0, subscriber.ErrNoPeer
+}
+
+func (p snapshotPeer) Newest(context.Context, string) (subscriber.Snapshot, time.Duration, error) {
+	p.snapshot.Records = slices.Clone(p.snapshot.Records)
+	return p.snapshot, 0, nil
+}
+
+// TestStartFromHeldSnapshot guards against a daemon that starts and holds what the log has lost for
+// longer than its peer, or that lacks what the log shows instead.
+func TestStartFromHeldSnapshot(t *testing.T) {
+	held := []subscriber.Record{{Key: "k", Value: []byte("b"), Offset: 7, Epoch: 1}}
+	rows := map[string]struct {
+		sinceRestore time.Duration
+		// wantUntil is how long the lost record stays, 0 if it is never applied.
+		wantUntil time.Duration
+	}{
+		"peer of an earlier version":    {0, 10 * time.Second},
+		"during the hold":               {7 * time.Second, 3 * time.Second},
+		"at the end of the hold":        {10 * time.Second, 0},
+		"after the hold":                {time.Minute, 0},
+		"shortly before the hold's end": {9900 * time.Millisecond, 100 * time.Millisecond},
+	}
+	for name, row := range rows {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				log := newRestorableLog()
+				log.put("k", "a")
+				log.restore(1)
+				peer := snapshotPeer{subscriber.Snapshot{Records: held, Next: subscriber.Position{Epoch: 2, Offset: 1}, SinceRestore: row.sinceRestore}}
+				topic := startTopicWithPeer(t, log, peer)
+				synctest.Wait()
+				if row.wantUntil == 0 {
+					checkValues(t, "at the start", topic.values(), log.values())
+					return
+				}
+				time.Sleep(row.wantUntil - 10*time.Millisecond)
+				checkValues(t, "before the hold's end", topic.values(), map[string]string{"k": "b"})
+				if got := topic.LostKeys(); got != 1 {
+					t.Errorf("lost keys got %d, want 1", got)
+				}
+				if elapsed, ok := topic.SinceOutage(); !ok || elapsed != row.sinceRestore+row.wantUntil-10*time.Millisecond {
+					t.Errorf("SinceOutage() got %v, %t, want %v", elapsed, ok, row.sinceRestore+row.wantUntil-10*time.Millisecond)
+				}
+			})
+		})
+	}
+}
--- a/internal/subscriber/subscriber.go
+++ b/internal/subscriber/subscriber.go
@@ -91,6 +91,10 @@
 	// one. It is valid if hasRecovered is set.
 	recoveredAt  time.Duration
 	hasRecovered bool
+	// restoredAt is when the log's last restore was noticed, by this daemon or, if it has started
+	// since, by its peer. It is valid if hasRestored is set.
+	restoredAt  time.Duration
+	hasRestored bool
 	// interrupt ends the read that is waiting for records. It is nil if there is none.
 	interrupt context.CancelCauseFunc
 }
@@ -183,7 +187,9 @@
 // ErrUnread or ErrFailing if it cannot serve them, and the error of ctx if that ends
 // first.
 func (s *Subscriber) Snapshot(ctx context.Context, wait time.Duration) (Snapshot, error) {
-	return s.window.snapshot(ctx, wait)
+	snapshot, err := s.window.snapshot(ctx, wait)
+	snapshot.SinceRestore = s.sinceRestore()
+	return snapshot, err
 }
 
 // CoversFrom reports whether RecordsFrom can serve the records from a position on.
--- a/internal/subscriber/topic.go
+++ b/internal/subscriber/topic.go
@@ -101,4 +101,6 @@
 	Next Position
 	// VerifiedAt is when everything appended before had been read.
 	VerifiedAt time.Duration
+	// SinceRestore is the time since the log's last restore was noticed, or 0 if none is known.
+	SinceRestore time.Duration
 }
