--- a/internal/relayer/snapshot_test.go
+++ b/internal/relayer/snapshot_test.go
@@ -6,9 +6,12 @@
 	"testing/synctest"
 	"time"
 
+	"connectrpc.com/connect"
 	"github.com/hashicorp/go-hclog"
+	"google.golang.org/protobuf/types/known/durationpb"
 
 	"quetzalgrade.example/quetzalgrade/internal/subscriber"
+	"quetzalgrade.example/quetzalgrade/pkg/schema"
 )
 
 // restoredSource is a topic without records of a log that is restored after a second.
@@ -67,3 +70,40 @@
 		}
 	})
 }
+
+// snapshotFunc is a zone reader's SnapshotService.
+type snapshotFunc func() *schema.SnapshotResponse
+
+func (f snapshotFunc) Newest(context.Context, *connect.Request[schema.SnapshotRequest]) (*connect.Response[schema.SnapshotResponse], error) {
+	return connect.NewResponse(f()), nil
+}
+
+// TestSinceRestoreOfResponse guards against a follower that does not learn when its zone reader
+// noticed a restore, or takes a wrong time from it.
+func TestSinceRestoreOfResponse(t *testing.T) {
+	rows := map[string]struct {
+		sent *durationpb.Duration
+		want time.Duration
+	}{
+		"named":                            {durationpb.New(7 * time.Second), 7 * time.Second},
+		"daemon of an earlier version":     {nil, 0},
+		"negative, from a broken response": {durationpb.New(-time.Second), 0},
+	}
+	records, err := packRecords(nil, 2)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for name, row := range rows {
+		t.Run(name, func(t *testing.T) {
+			relayer := New(Options{Logger: hclog.NewNullLogger()})
+			close(relayer.decided)
+			relayer.readerClients = &readerClients{dropped: make(chan struct{}), snapshot: snapshotFunc(func() *schema.SnapshotResponse {
+				return &schema.SnapshotResponse{Records: records, Epoch: 2, SinceRestore: row.sent}
+			})}
+			snapshot, _, err := relayer.Newest(t.Context(), "t")
+			if err != nil || snapshot.SinceRestore != row.want {
+				t.Errorf("Newest() got %v since the restore, %v, want %v", snapshot.SinceRestore, err, row.want)
+			}
+		})
+	}
+}
--- a/internal/subscriber/merge_test.go
+++ b/internal/subscriber/merge_test.go
@@ -192,6 +192,17 @@
 	}
 }
 
+// TestLostDeletionsStay guards against a deletion that the log has lost being dropped with those that
+// were only kept for followers.
+func TestLostDeletionsStay(t *testing.T) {
+	window := newWindow()
+	window.load(byKey([]Record{record("lost", "", 3, 1), record("read", "", 4, 2), record("k", "a", 5, 2)}), Position{2, 6}, 0)
+	want := map[string]content{"lost": {"", 3, 1}, "k": {"a", 5, 2}}
+	if got := contents(window.newest); !maps.Equal(got, want) {
+		t.Errorf("newest records got %v, want %v", got, want)
+	}
+}
+
 // mergedTopic is a model of a log that is restored and of a daemon that reads it.
 type mergedTopic struct {
 	epoch   Epoch
--- a/internal/subscriber/restore_test.go
+++ b/internal/subscriber/restore_test.go
@@ -879,21 +879,28 @@
 	}
 }
 
-// snapshotPeer shows one snapshot of all keys, and serves no reads.
-type snapshotPeer struct{ snapshot subscriber.Snapshot }
+// snapshotPeer shows a snapshot of all keys once, and serves no reads.
+type snapshotPeer struct {
+	snapshot subscriber.Snapshot
+	isShown  bool
+}
 
-func (snapshotPeer) Read(context.Context, string, subscriber.Position) (subscriber.Page, time.Duration, error) {
+func (*snapshotPeer) Read(context.Context, string, subscriber.Position) (subscriber.Page, time.Duration, error) {
 	return subscriber.Page{}, 0, subscriber.ErrNoPeer
 }
 
-func (p snapshotPeer) Newest(context.Context, string) (subscriber.Snapshot, time.Duration, error) {
-	p.snapshot.Records = slices.Clone(p.snapshot.Records)
+func (p *snapshotPeer) Newest(context.Context, string) (subscriber.Snapshot, time.Duration, error) {
+	if p.isShown {
+		return subscriber.Snapshot{}, 0, subscriber.ErrNoPeer
+	}
+	p.isShown = true
 	return p.snapshot, 0, nil
 }
 
 // TestStartFromHeldSnapshot guards against a daemon that starts and holds what the log has lost for
 // longer than its peer, or that lacks what the log shows instead.
 func TestStartFromHeldSnapshot(t *testing.T) {
+	const margin = 10 * time.Millisecond
 	held := []subscriber.Record{{Key: "k", Value: []byte("b"), Offset: 7, Epoch: 1}}
 	rows := map[string]struct {
 		sinceRestore time.Duration
@@ -912,21 +919,60 @@
 				log := newRestorableLog()
 				log.put("k", "a")
 				log.restore(1)
-				peer := snapshotPeer{subscriber.Snapshot{Records: held, Next: subscriber.Position{Epoch: 2, Offset: 1}, SinceRestore: row.sinceRestore}}
+				peer := &snapshotPeer{snapshot: subscriber.Snapshot{Records: slices.Clone(held), Next: subscriber.Position{Epoch: 2, Offset: 1}, SinceRestore: row.sinceRestore}}
 				topic := startTopicWithPeer(t, log, peer)
 				synctest.Wait()
 				if row.wantUntil == 0 {
 					checkValues(t, "at the start", topic.values(), log.values())
 					return
 				}
-				time.Sleep(row.wantUntil - 10*time.Millisecond)
+				time.Sleep(row.wantUntil - margin)
 				checkValues(t, "before the hold's end", topic.values(), map[string]string{"k": "b"})
 				if got := topic.LostKeys(); got != 1 {
 					t.Errorf("lost keys got %d, want 1", got)
 				}
-				if elapsed, ok := topic.SinceOutage(); !ok || elapsed != row.sinceRestore+row.wantUntil-10*time.Millisecond {
-					t.Errorf("SinceOutage() got %v, %t, want %v", elapsed, ok, row.sinceRestore+row.wantUntil-10*time.Millisecond)
+				if elapsed, ok := topic.SinceOutage(); !ok || elapsed != row.sinceRestore+row.wantUntil-margin {
+					t.Errorf("SinceOutage() got %v, %t, want %v", elapsed, ok, row.sinceRestore+row.wantUntil-margin)
 				}
+				time.Sleep(2 * margin)
+				checkValues(t, "after the hold's end", topic.values(), log.values())
+			})
+		})
+	}
+}
+
+// TestStartWithDeletion guards against a daemon that starts during the hold and does not pass on a
+// deletion that its peer has read, or passes it on for ever.
+func TestStartWithDeletion(t *testing.T) {
+	deletion := subscriber.Record{Key: "k", Offset: 0, Epoch: 2}
+	rows := map[string]struct {
+		sinceRestore time.Duration
+		// want is the number of deletions in the daemon's own snapshot.
+		want int
+	}{
+		"during the hold": {7 * time.Second, 1},
+		"after the hold":  {time.Minute, 0},
+		"unknown restore": {0, 0},
+	}
+	for name, row := range rows {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				log := newRestorableLog()
+				log.restore(0)
+				log.put("k", "")
+				peer := &snapshotPeer{snapshot: subscriber.Snapshot{Records: []subscriber.Record{deletion}, Next: subscriber.Position{Epoch: 2, Offset: 1}, SinceRestore: row.sinceRestore}}
+				topic := startTopicWithPeer(t, log, peer)
+				synctest.Wait()
+				checkValues(t, "at the start", topic.values(), map[string]string{})
+				snapshot, err := topic.Snapshot(t.Context(), time.Second)
+				if err != nil {
+					t.Fatal(err)
+				}
+				if len(snapshot.Records) != row.want || snapshot.SinceRestore != row.sinceRestore {
+					t.Errorf("snapshot got %v and %v since the restore, want %d deletions and %v", snapshot.Records, snapshot.SinceRestore, row.want, row.sinceRestore)
+				}
+				time.Sleep(holdEnd)
+				checkNoDeletions(t, name, topic)
 			})
 		})
 	}
