--- a/internal/subscriber/merge_test.go
+++ b/internal/subscriber/merge_test.go
@@ -122,6 +122,14 @@
 			past: []Record{record("k", "a", 3, 1)}, snapshot: []Record{record("k", "a", 3, 1)},
 			want: map[string]content{"k": kept("", 4, 1)}, wantLost: []string{"k"},
 		},
+		"peer has read a deletion after the restore": {
+			known: []Record{record("k", "a", 3, 1)}, snapshot: []Record{record("k", "", 4, 2)},
+			want: map[string]content{"k": kept("", 4, 2)}, wantChanged: []string{"k="},
+		},
+		"deletion after the restore that the next copy lacks": {
+			known: []Record{record("k", "", 4, 2)}, past: []Record{record("k", "a", 3, 1)}, from: Position{2, 5}, snapshot: []Record{record("k", "a", 3, 3)}, next: Position{3, 4},
+			want: map[string]content{"k": kept("", 4, 2)}, wantLost: []string{"k"},
+		},
 		"peer has kept a deletion that was not read": {
 			known: []Record{record("k", "a", 3, 1)}, snapshot: []Record{record("k", "", 4, 1)},
 			want: map[string]content{"k": kept("", 4, 1)}, wantChanged: []string{"k="}, wantLost: []string{"k"},
@@ -184,6 +192,17 @@
 	}
 }
 
+// TestLostDeletionsStay guards against a deletion that the log has lost being dropped with those that
+// were only kept for followers.
+func TestLostDeletionsStay(t *testing.T) {
+	window := newWindow()
+	window.load(byKey([]Record{record("lost", "", 3, 1), record("read", "", 4, 2), record("k", "a", 5, 2)}), Position{2, 6}, 0)
+	want := map[string]content{"lost": {"", 3, 1}, "k": {"a", 5, 2}}
+	if got := contents(window.newest); !maps.Equal(got, want) {
+		t.Errorf("newest records got %v, want %v", got, want)
+	}
+}
+
 // mergedTopic is a model of a log that is restored and of a daemon that reads it.
 type mergedTopic struct {
 	epoch   Epoch
--- a/internal/subscriber/restore_test.go
+++ b/internal/subscriber/restore_test.go
@@ -12,6 +12,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/go-faster/errors"
 	"github.com/hashicorp/go-hclog"
 
 	"quetzalgrade.example/quetzalgrade/internal/subscriber"
@@ -695,3 +696,284 @@
 		checkValues(t, "after the hold", topic.values(), map[string]string{})
 	})
 }
+
+// waitSource records the shortest wait of the reads of a log.
+type waitSource struct {
+	*restorableLog
+	shortest atomic.Int64
+}
+
+func (s *waitSource) Read(ctx context.Context, from int64, wait time.Duration) (subscriber.Page, error) {
+	s.shortest.Store(min(s.shortest.Load(), int64(wait)))
+	return s.restorableLog.Read(ctx, from, max(wait, 0))
+}
+
+// slowPeer fails each read after a while.
+type slowPeer struct{ topicPeer }
+
+func (slowPeer) Read(context.Context, string, subscriber.Position) (subscriber.Page, time.Duration, error) {
+	const readTime = 2150 * time.Millisecond
+	time.Sleep(readTime)
+	return subscriber.Page{}, 0, errors.New("timeout")
+}
+
+// TestWaitAtEndOfHold guards against a read with a negative wait when the hold ends during the read
+// from the peer.
+func TestWaitAtEndOfHold(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := newRestorableLog()
+		source := &waitSource{restorableLog: log}
+		log.put("a", "1")
+		log.put("b", "1")
+		reader := startTopic(t, log, nil)
+		time.Sleep(3 * time.Second)
+		startTopicWithPeer(t, source, slowPeer{topicPeer{other: reader}})
+		time.Sleep(10 * time.Second)
+		log.restore(1)
+		time.Sleep(2 * holdEnd)
+		if got := time.Duration(source.shortest.Load()); got < 0 {
+			t.Errorf("shortest wait of a read got %v, want none below 0", got)
+		}
+	})
+}
+
+// frozenPeer responds to reads only while it is not frozen.
+type frozenPeer struct {
+	topicPeer
+	frozen *atomic.Bool
+}
+
+func (p frozenPeer) Read(ctx context.Context, topic string, from subscriber.Position) (subscriber.Page, time.Duration, error) {
+	for p.frozen.Load() {
+		time.Sleep(10 * time.Millisecond)
+	}
+	return p.topicPeer.Read(ctx, topic, from)
+}
+
+// TestDeletionReadByReaderFirst guards against a key that stays in force at a follower although it
+// was deleted after the restore: the reader has read the deletion before the follower asks.
+func TestDeletionReadByReaderFirst(t *testing.T) {
+	rows := map[string]struct {
+		// count is the number of records that the log keeps, out of a, b and c.
+		count   int
+		rewrite func(l *restorableLog)
+		want    map[string]string
+	}{
+		"only lost key":         {2, func(l *restorableLog) { l.put("c", "") }, map[string]string{"a": "1", "b": "1"}},
+		"one of two lost keys":  {1, func(l *restorableLog) { l.put("b", "") }, map[string]string{"a": "1", "c": "1"}},
+		"key that the log has":  {2, func(l *restorableLog) { l.put("b", "") }, map[string]string{"a": "1", "c": "1"}},
+		"deleted and put again": {2, func(l *restorableLog) { l.put("c", ""); l.put("c", "2") }, map[string]string{"a": "1", "b": "1", "c": "2"}},
+	}
+	for name, row := range rows {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				log := newRestorableLog()
+				for _, key := range []string{"a", "b", "c"} {
+					log.put(key, "1")
+				}
+				reader := startTopic(t, log, nil)
+				frozen := &atomic.Bool{}
+				follower := startTopicWithPeer(t, log, frozenPeer{topicPeer{other: reader}, frozen})
+				time.Sleep(3 * time.Second)
+				frozen.Store(true)
+				time.Sleep(2 * time.Second)
+				log.restore(row.count)
+				time.Sleep(2 * time.Second)
+				row.rewrite(log)
+				time.Sleep(2 * time.Second)
+				frozen.Store(false)
+				time.Sleep(4 * time.Second)
+				late := startTopic(t, log, follower)
+				time.Sleep(time.Second)
+				topics := map[string]*testTopic{"reader": reader, "follower": follower, "started during the hold": late}
+				for name, topic := range topics {
+					checkValues(t, name, topic.values(), row.want)
+				}
+				time.Sleep(2 * holdEnd)
+				for name, topic := range topics {
+					checkValues(t, name+" after the hold", topic.values(), log.values())
+					checkNoDeletions(t, name, topic)
+				}
+			})
+		})
+	}
+}
+
+// checkNoDeletions reports deletions among the newest records that a topic passes on.
+func checkNoDeletions(t *testing.T, name string, topic *testTopic) {
+	t.Helper()
+	snapshot, err := topic.Snapshot(t.Context(), time.Second)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, record := range snapshot.Records {
+		if len(record.Value) == 0 {
+			t.Errorf("%s: snapshot after the hold got a deletion of %q, want none", name, record.Key)
+		}
+	}
+}
+
+// TestDeletionsAreNotKept guards against deletions that gather in the snapshots for other daemons
+// after the time in which a follower may notice a restore.
+func TestDeletionsAreNotKept(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := newRestorableLog()
+		log.put("k", "a")
+		reader := startTopic(t, log, nil)
+		topics := map[string]*testTopic{"reader": reader, "follower": startTopic(t, log, reader)}
+		time.Sleep(time.Second)
+		log.restore(1)
+		// The deletions begin before the time is over and go on after it.
+		for i := range 40 {
+			time.Sleep(500 * time.Millisecond)
+			log.put(fmt.Sprint("gone", i), "a")
+			log.put(fmt.Sprint("gone", i), "")
+		}
+		time.Sleep(2 * time.Second)
+		for name, topic := range topics {
+			checkNoDeletions(t, name, topic)
+			checkValues(t, name, topic.values(), map[string]string{"k": "a"})
+		}
+	})
+}
+
+// TestHoldOfDaemonsThatStart guards against what the log has lost staying for long, and against
+// lost endpoints that get their grace again, because each daemon that starts takes it over from the
+// one before.
+func TestHoldOfDaemonsThatStart(t *testing.T) {
+	rows := map[string]struct {
+		pause  time.Duration
+		starts int
+		// want are the values after the last start.
+		want map[string]string
+	}{
+		"9 s apart":             {9 * time.Second, 5, map[string]string{"a": "1"}},
+		"3 s apart, until 9 s":  {3 * time.Second, 3, map[string]string{"a": "1", "b": "1"}},
+		"3 s apart, until 12 s": {3 * time.Second, 4, map[string]string{"a": "1"}},
+	}
+	for name, row := range rows {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				log := newRestorableLog()
+				log.put("a", "1")
+				log.put("b", "1")
+				topic := startTopic(t, log, nil)
+				time.Sleep(3 * time.Second)
+				log.restore(1)
+				restoredAt := time.Now()
+				for range row.starts {
+					time.Sleep(row.pause)
+					topic = startTopic(t, log, topic)
+					synctest.Wait()
+					elapsed, ok := topic.SinceOutage()
+					if want := time.Since(restoredAt); topic.LostKeys() > 0 && (!ok || elapsed < want-time.Second || elapsed > want) {
+						t.Errorf("SinceOutage() of a daemon that started %v after the restore got %v, %t, want the time since it was seen", want, elapsed, ok)
+					}
+				}
+				time.Sleep(500 * time.Millisecond)
+				checkValues(t, "after the last start", topic.values(), row.want)
+				time.Sleep(holdEnd)
+				checkValues(t, "after the hold", topic.values(), log.values())
+			})
+		})
+	}
+}
+
+// snapshotPeer shows a snapshot of all keys once, and serves no reads.
+type snapshotPeer struct {
+	snapshot subscriber.Snapshot
+	isShown  bool
+}
+
+func (*snapshotPeer) Read(context.Context, string, subscriber.Position) (subscriber.Page, time.Duration, error) {
+	return subscriber.Page{}, 0, subscriber.ErrNoPeer
+}
+
+func (p *snapshotPeer) Newest(context.Context, string) (subscriber.Snapshot, time.Duration, error) {
+	if p.isShown {
+		return subscriber.Snapshot{}, 0, subscriber.ErrNoPeer
+	}
+	p.isShown = true
+	return p.snapshot, 0, nil
+}
+
+// TestStartFromHeldSnapshot guards against a daemon that starts and holds what the log has lost for
+// longer than its peer, or that lacks what the log shows instead.
+func TestStartFromHeldSnapshot(t *testing.T) {
+	const margin = 10 * time.Millisecond
+	held := []subscriber.Record{{Key: "k", Value: []byte("b"), Offset: 7, Epoch: 1}}
+	rows := map[string]struct {
+		sinceRestore time.Duration
+		// wantUntil is how long the lost record stays, 0 if it is never applied.
+		wantUntil time.Duration
+	}{
+		"peer of an earlier version":    {0, 10 * time.Second},
+		"during the hold":               {7 * time.Second, 3 * time.Second},
+		"at the end of the hold":        {10 * time.Second, 0},
+		"after the hold":                {time.Minute, 0},
+		"shortly before the hold's end": {9900 * time.Millisecond, 100 * time.Millisecond},
+	}
+	for name, row := range rows {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				log := newRestorableLog()
+				log.put("k", "a")
+				log.restore(1)
+				peer := &snapshotPeer{snapshot: subscriber.Snapshot{Records: slices.Clone(held), Next: subscriber.Position{Epoch: 2, Offset: 1}, SinceRestore: row.sinceRestore}}
+				topic := startTopicWithPeer(t, log, peer)
+				synctest.Wait()
+				if row.wantUntil == 0 {
+					checkValues(t, "at the start", topic.values(), log.values())
+					return
+				}
+				time.Sleep(row.wantUntil - margin)
+				checkValues(t, "before the hold's end", topic.values(), map[string]string{"k": "b"})
+				if got := topic.LostKeys(); got != 1 {
+					t.Errorf("lost keys got %d, want 1", got)
+				}
+				if elapsed, ok := topic.SinceOutage(); !ok || elapsed != row.sinceRestore+row.wantUntil-margin {
+					t.Errorf("SinceOutage() got %v, %t, want %v", elapsed, ok, row.sinceRestore+row.wantUntil-margin)
+				}
+				time.Sleep(2 * margin)
+				checkValues(t, "after the hold's end", topic.values(), log.values())
+			})
+		})
+	}
+}
+
+// TestStartWithDeletion guards against a daemon that starts during the hold and does not pass on a
+// deletion that its peer has read, or passes it on for ever.
+func TestStartWithDeletion(t *testing.T) {
+	deletion := subscriber.Record{Key: "k", Offset: 0, Epoch: 2}
+	rows := map[string]struct {
+		sinceRestore time.Duration
+		// want is the number of deletions in the daemon's own snapshot.
+		want int
+	}{
+		"during the hold": {7 * time.Second, 1},
+		"after the hold":  {time.Minute, 0},
+		"unknown restore": {0, 0},
+	}
+	for name, row := range rows {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				log := newRestorableLog()
+				log.restore(0)
+				log.put("k", "")
+				peer := &snapshotPeer{snapshot: subscriber.Snapshot{Records: []subscriber.Record{deletion}, Next: subscriber.Position{Epoch: 2, Offset: 1}, SinceRestore: row.sinceRestore}}
+				topic := startTopicWithPeer(t, log, peer)
+				synctest.Wait()
+				checkValues(t, "at the start", topic.values(), map[string]string{})
+				snapshot, err := topic.Snapshot(t.Context(), time.Second)
+				if err != nil {
+					t.Fatal(err)
+				}
+				if len(snapshot.Records) != row.want || snapshot.SinceRestore != row.sinceRestore {
+					t.Errorf("snapshot got %v and %v since the restore, want %d deletions and %v", snapshot.Records, snapshot.SinceRestore, row.want, row.sinceRestore)
+				}
+				time.Sleep(holdEnd)
+				checkNoDeletions(t, name, topic)
+			})
+		})
+	}
+}
