Let an evacuation be withdrawn that a restored log held lower

Cause: the first change of an epoch names keys that the log has lost; a record that it holds instead of the known one is new, and its key is not lost. evacuations.enterEpoch reset only lost zones, so the zone kept its offset of the former epoch, and the record at a lower one was ignored.

What callers saw: a withdrawal at an offset up to the former one, or a complete change without the zone, was ignored; the zone got no requests any more.

Why it works: the offset of a zone that the first change of a later epoch has a record of counts as lost, so that the record applies whatever its offset. Records that the log still holds are not in that change. If the log only begins to name its epoch, offsets stay comparable.

--- a/internal/runner/evacuations.go
+++ b/internal/runner/evacuations.go
@@ -52,6 +52,11 @@
 	return evacuation
 }
 
+// hasRecord reports whether the change holds a record of the zone.
+func (c evacuationChange) hasRecord(zone string) bool {
+	return slices.ContainsFunc(c.records, func(record evacuationRecord) bool { return record.zone == zone })
+}
+
 // evacuations are the evacuated zones according to the newest records, in whatever order the
 // changes arrive.
 type evacuations struct {
@@ -95,16 +100,18 @@
 }
 
 // enterEpoch begins to compare offsets anew if the change is of a later epoch. The offsets of
-// the records that the log still holds are the same in it.
+// the records that the log still holds are the same in it, and the change does not hold them.
 func (e *evacuations) enterEpoch(change evacuationChange) {
 	if change.epoch <= e.epoch {
 		return
 	}
-	if e.epoch != 0 {
+	isRestore := e.epoch != 0
+	if isRestore {
 		e.next = 0
 	}
 	for zone := range e.zones {
-		if change.complete && e.epoch != 0 || slices.Contains(change.lost, zone) {
+		isReplaced := isRestore && (change.complete || change.hasRecord(zone))
+		if isReplaced || slices.Contains(change.lost, zone) {
 			e.zones[zone] = lostOffset
 		}
 	}
--- a/internal/runner/evacuations_test.go
+++ b/internal/runner/evacuations_test.go
@@ -54,8 +54,8 @@
 }
 
 // TestEvacuationsAfterRestoreOfLog guards against an evacuation, or a withdrawal, that is ignored
-// because it is written again at a lower offset after the log has lost it, and against an
-// evacuation that ends because the log has lost its record.
+// because it is written again at a lower offset after the log has lost it, even before the first
+// read of the epoch, and against an evacuation that ends because the log has lost its record.
 func TestEvacuationsAfterRestoreOfLog(t *testing.T) {
 	evacuate := func(zone string, offset int64) evacuationRecord { return evacuationRecord{zone, true, offset} }
 	withdraw := func(zone string, offset int64) evacuationRecord { return evacuationRecord{zone, false, offset} }
@@ -92,6 +92,11 @@
 		"a page of before the restore":       {[]evacuationChange{page(1, 9, evacuate("a", 8)), merged(2, 4, "a"), page(1, 10, withdraw("a", 9))}, map[string]int64{"a": lostOffset}},
 		"a page of the log without an epoch": {[]evacuationChange{page(2, 9, evacuate("a", 8)), page(0, 10, withdraw("a", 9))}, nil},
 		"the log begins to name its epoch":   {[]evacuationChange{page(0, 9, evacuate("a", 7), withdraw("a", 8)), page(1, 9, evacuate("a", 7))}, nil},
+		"found lower, withdrawn":             {[]evacuationChange{page(1, 9, evacuate("a", 8)), page(2, 6, evacuate("a", 5)), page(2, 7, withdraw("a", 6))}, nil},
+		"found lower, then not":              {[]evacuationChange{page(1, 9, evacuate("a", 8)), page(2, 6, evacuate("a", 5)), complete(2, 7)}, nil},
+		"found lower":                        {[]evacuationChange{page(1, 9, evacuate("a", 8)), page(2, 6, evacuate("a", 5))}, map[string]int64{"a": 5}},
+		"found lower as withdrawn":           {[]evacuationChange{page(1, 9, evacuate("a", 8)), page(2, 6, withdraw("a", 5))}, nil},
+		"lower when the log names its epoch": {[]evacuationChange{page(0, 9, evacuate("a", 8)), page(1, 9, withdraw("a", 5))}, map[string]int64{"a": 8}},
 		"complete change of the new epoch":   {[]evacuationChange{page(1, 9, evacuate("a", 8)), complete(2, 5, evacuate("b", 4))}, map[string]int64{"b": 4}},
 	}
 	for name, row := range rows {
