End a rollout whose order a restored log lacks, and write no state of it

Cause: an order that the log has lost and nobody writes again was never removed, because only a deletion record ended a rollout; complete changes were read for their records alone. Daemons wrote next states of an order while it was lost.

What callers saw: the rollout went on to the full state, and daemons wrote "completed" for an order that the log lacks, upon which operators stop the old version.

TestMissingOrders is a unit test of the new function.

Why it works: a complete change that reaches an order's record but does not hold it ends the rollout like a withdrawal; a peer that has not read that far ends nothing. Log without epochs: as before.

Side effect: a roll-back is written only once the order shows again. `worse` stops the use of the version all the same (ROLLOUTS.md).

--- a/internal/runner/follow.go
+++ b/internal/runner/follow.go
@@ -36,10 +36,19 @@
 			r.updateOperatorState(func(state *operatorState) { state.setOrder(order) })
 			r.rollouts.addOrder(order, change.Complete)
 		case decoded.WithdrawnService != "":
-			r.updateOperatorState(func(state *operatorState) { state.removeOrder(decoded.WithdrawnService) })
-			r.rollouts.removeOrder(decoded.WithdrawnService)
+			r.removeOrder(decoded.WithdrawnService)
 		}
 	}
+	for _, service := range r.rollouts.missingOrders(change, records) {
+		r.logger.Info("rollout order is not in the log any more", "service", service)
+		r.removeOrder(service)
+	}
+}
+
+// removeOrder ends the rollout of a service.
+func (r *Runner) removeOrder(service string) {
+	r.updateOperatorState(func(state *operatorState) { state.removeOrder(service) })
+	r.rollouts.removeOrder(service)
 }
 
 // logEpoch returns the log's epoch of the last change of the operators' topic.
--- a/internal/runner/orders.go
+++ b/internal/runner/orders.go
@@ -153,6 +153,30 @@
 	return rollout
 }
 
+// missingOrders returns the services whose orders a complete change of the operators' topic reaches,
+// but does not hold: they were withdrawn, or the log has lost them and nobody wrote them again.
+func (m *rolloutManager) missingOrders(change subscriber.Change, records []operatorRecord) []string {
+	if !change.Complete {
+		return nil
+	}
+	held := map[string]bool{}
+	for _, record := range records {
+		if record.Order != nil {
+			held[record.Order.Service] = true
+		}
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	end := promoter.Order{Epoch: uint64(change.Epoch), Offset: change.Next}
+	var missing []string
+	for service, rollout := range m.byService {
+		if !held[service] && rollout.order.PrecedesRecord(end) {
+			missing = append(missing, service)
+		}
+	}
+	return missing
+}
+
 // removeOrder ends the rollout of a service whose order was withdrawn.
 func (m *rolloutManager) removeOrder(service string) {
 	m.mu.Lock()
--- a/internal/runner/orders_test.go
+++ b/internal/runner/orders_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -136,3 +137,43 @@
 		})
 	}
 }
+
+// TestMissingOrders guards against a rollout that goes on although all records of the operators'
+// topic hold no order of it, and against one that ends because a lagging peer has yet to read it.
+func TestMissingOrders(t *testing.T) {
+	at := func(epoch uint64, offset int64) promoter.Order {
+		return promoter.Order{Service: "helper", Target: "v2", Duration: time.Minute, Epoch: epoch, Offset: offset}
+	}
+	rows := map[string]struct {
+		order promoter.Order
+		// records are the orders of a change.
+		records    []promoter.Order
+		epoch      subscriber.Epoch
+		next       int64
+		incomplete bool
+		want       []string
+	}{
+		"missing":                 {order: at(1, 8), epoch: 1, next: 9, want: []string{"helper"}},
+		"missing after a restore": {order: at(1, 8), epoch: 2, next: 4, want: []string{"helper"}},
+		// Nothing is compared.
+		"missing, the log has no epochs": {order: at(0, 8), next: 9},
+		"held":                           {order: at(1, 8), records: []promoter.Order{at(1, 8)}, epoch: 1, next: 9},
+		"held by a peer as lost":         {order: at(1, 8), records: []promoter.Order{at(1, 8)}, epoch: 2, next: 4},
+		"replaced":                       {order: at(1, 8), records: []promoter.Order{at(1, 9)}, epoch: 1, next: 10},
+		"not reached":                    {order: at(1, 8), epoch: 1, next: 8},
+		"of a later epoch":               {order: at(2, 3), epoch: 1, next: 9},
+		"lost, the hold has not ended":   {order: at(1, 8), epoch: 2, next: 4, incomplete: true},
+	}
+	for name, row := range rows {
+		t.Run(name, func(t *testing.T) {
+			now := time.Hour
+			m := newTestManager(&now)
+			orderStep{epoch: subscriber.Epoch(row.order.Epoch), order: row.order}.apply(m, &now)
+			_, records, _ := ordered(row.epoch, nil, row.records...)
+			change := subscriber.Change{Complete: !row.incomplete, Epoch: row.epoch, Next: row.next}
+			if got := m.missingOrders(change, records); !slices.Equal(got, row.want) {
+				t.Errorf("missingOrders() got %v, want %v", got, row.want)
+			}
+		})
+	}
+}
--- a/internal/runner/progress.go
+++ b/internal/runner/progress.go
@@ -65,6 +65,10 @@
 		// The states that other daemons have written are not known yet.
 		return nil
 	}
+	if m.isLost(rollout.order) {
+		// Nobody may write the order again, and its status would be without an order.
+		return nil
+	}
 	view := promoter.View{
 		Order:       rollout.order,
 		State:       rollout.state,
