Hold orders that a daemon finds in its first read after a restore

Cause: an order counts as possibly old if it comes in a complete change. The merge after a restore is not complete, so an order in it was taken as new by a daemon that did not know it.

What callers saw: none seen; found by reading. A daemon that started after a withdrawal may write a canary of the former order as soon as the restored log shows that again, before daemons that know the roll-back have written it.

Evidence: TestHoldOfOldOrders, eight cases; "first after a restore" fails with the former condition (states from 0s on, want 1h0m2s). Two existing tests lose the argument of addOrder, nothing else.

Why it works: the manager sees each change before its orders, and knows by the epoch which one is the first after a restore. The hold lets daemons that know the rollout's state write it first.

--- a/internal/runner/follow.go
+++ b/internal/runner/follow.go
@@ -34,7 +34,7 @@
 			order := *decoded.Order
 			r.logger.Info("rollout ordered", "service", order.Service, "target", order.Target, "duration", noter.FormatDuration(order.Duration), "offset", decoded.offset)
 			r.updateOperatorState(func(state *operatorState) { state.setOrder(order) })
-			r.rollouts.addOrder(order, change.Complete)
+			r.rollouts.addOrder(order)
 		case decoded.WithdrawnService != "":
 			r.removeOrder(decoded.WithdrawnService)
 		}
--- a/internal/runner/orders.go
+++ b/internal/runner/orders.go
@@ -49,6 +49,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	isFirst := m.epoch == 0
+	m.mayBeOld = change.Complete || !isFirst && change.Epoch > m.epoch
 	if change.Epoch <= m.epoch {
 		return
 	}
@@ -80,7 +81,7 @@
 // addOrder starts a rollout for an operator's order. It ignores an order that it already has,
 // and an older one. An order that was written again after the log had lost it goes on with its
 // rollout. If the order may be an old one, this daemon waits before it writes a state of it.
-func (m *rolloutManager) addOrder(order promoter.Order, mayBeOld bool) {
+func (m *rolloutManager) addOrder(order promoter.Order) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	service := order.Service
@@ -90,7 +91,7 @@
 	}
 	if rollout == nil || !order.Repeats(rollout.order) {
 		m.keepFormer(rollout)
-		rollout = m.rolloutOf(order, mayBeOld)
+		rollout = m.rolloutOf(order)
 	}
 	if rollout.order != order {
 		m.logger.Info("rollout order was written again after the log lost it", "service", service, "target", order.Target,
@@ -133,7 +134,7 @@
 }
 
 // rolloutOf returns the rollout that a former order with the same record has, or a new one.
-func (m *rolloutManager) rolloutOf(order promoter.Order, mayBeOld bool) *rolloutState {
+func (m *rolloutManager) rolloutOf(order promoter.Order) *rolloutState {
 	if rollout := m.takeFormer(order); rollout != nil {
 		return rollout
 	}
@@ -147,7 +148,7 @@
 		peerBalances:           map[string]promoter.Balance{},
 		peerOldVersionSessions: map[uint64]bool{},
 	}
-	if mayBeOld {
+	if m.mayBeOld {
 		rollout.decideFrom = now + lateHoldOf(order)
 	}
 	return rollout
--- a/internal/runner/orders_test.go
+++ b/internal/runner/orders_test.go
@@ -61,7 +61,7 @@
 	case s.withdraw:
 		m.removeOrder("helper")
 	case s.order.Service != "":
-		m.addOrder(s.order, false)
+		m.addOrder(s.order)
 	}
 }
 
@@ -177,3 +177,40 @@
 		})
 	}
 }
+
+// TestHoldOfOldOrders guards against a state that a daemon writes at once for an order that was
+// withdrawn before it started and that the restored log shows again.
+func TestHoldOfOldOrders(t *testing.T) {
+	rows := map[string]struct {
+		// changes come before the one with the order, which is the last.
+		changes []subscriber.Change
+		want    bool
+	}{
+		"all records":             {[]subscriber.Change{{Complete: true, Epoch: 1}}, true},
+		"a page":                  {[]subscriber.Change{{Complete: true, Epoch: 1}, {Epoch: 1}}, false},
+		"first after a restore":   {[]subscriber.Change{{Complete: true, Epoch: 1}, {Epoch: 2}}, true},
+		"second after a restore":  {[]subscriber.Change{{Complete: true, Epoch: 1}, {Epoch: 2}, {Epoch: 2}}, false},
+		"at the end of the hold":  {[]subscriber.Change{{Complete: true, Epoch: 1}, {Epoch: 2}, {Complete: true, Epoch: 2}}, true},
+		"a page of before":        {[]subscriber.Change{{Complete: true, Epoch: 1}, {Epoch: 2}, {Epoch: 1}}, false},
+		"the log names its epoch": {[]subscriber.Change{{Complete: true}, {Epoch: 1}}, false},
+		"the log names no epoch":  {[]subscriber.Change{{Complete: true}, {}}, false},
+	}
+	for name, row := range rows {
+		t.Run(name, func(t *testing.T) {
+			now := time.Hour
+			m := newTestManager(&now)
+			for _, change := range row.changes {
+				m.enterEpoch(change, nil, nil)
+			}
+			order := promoter.Order{Service: "helper", Target: "v2", Duration: time.Minute, Epoch: uint64(m.epoch), Offset: 8}
+			m.addOrder(order)
+			want := time.Duration(0)
+			if row.want {
+				want = now + lateHold
+			}
+			if got := m.byService["helper"].decideFrom; got != want {
+				t.Errorf("states are written from %v on, want %v", got, want)
+			}
+		})
+	}
+}
--- a/internal/runner/reports_test.go
+++ b/internal/runner/reports_test.go
@@ -43,7 +43,7 @@
 		r.deps.Clock = func() time.Duration { return time.Minute }
 		r.tracker = tracker.New("ouse", rand.New(rand.NewPCG(1, 2)), time.Now, r.logger)
 		m := &rolloutManager{Runner: r, statuses: map[string]promoter.Status{}, byService: map[string]*rolloutState{}, changed: make(chan struct{}, 1)}
-		m.addOrder(promoter.Order{Service: "helper", Target: "v2", Duration: time.Minute, Offset: 7}, false)
+		m.addOrder(promoter.Order{Service: "helper", Target: "v2", Duration: time.Minute, Offset: 7})
 		change := subscriber.Change{Records: reportsOf(t, daemons)}
 		m.applyReports(change)
 		var before, after runtime.MemStats
--- a/internal/runner/rollouts.go
+++ b/internal/runner/rollouts.go
@@ -100,6 +100,9 @@
 	former map[string][]formerRollout
 	// epoch is the log's epoch of the last change of the operators' topic.
 	epoch subscriber.Epoch
+	// mayBeOld is set if the orders of that change may be old ones: it holds all records, or is
+	// the first one after a restore of the log.
+	mayBeOld bool
 	// restoreWindowEnd is the end of the restoreWindow after the last restore of the log.
 	restoreWindowEnd time.Duration
 	// currentVersions are the versions that services without an order run on.
