Record a zone reader again that claimed its role just before a restore

Cause: the runner told the relayer of a restore only if a change of the operators' topic had named an earlier epoch. A reader that claims its role before it has read any topic knows none.

What callers saw: the log lost the reader's record, the reader went on without one, and a daemon that started became a second reader of the zone.

Why it works: the relayer keeps the highest epoch that it has read the zone readers in or heard of. The runner tells it each later epoch; if one was known, the reader checks its record. A log that begins to name its epoch is no restore, as before. The counter of restores counts as before.

--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -129,6 +129,8 @@
 	// lastRequest is when another daemon last sent a request, or when this daemon
 	// took its role if that was later.
 	lastRequest time.Duration
+	// epoch is the highest epoch of the log that this daemon knows of.
+	epoch subscriber.Epoch
 }
 
 // New returns a relayer in the role Alone.
@@ -329,6 +331,7 @@
 			r.Logger.Debug("cannot read the zone readers from the log", "error", err)
 			return
 		}
+		r.raiseEpoch(snapshot.Next.Epoch)
 		readers := DecodeReaders(snapshot.Records, r.Logger)
 		reader := readers[r.Zone]
 		role := r.chooseRole(reader)
--- a/internal/relayer/restore.go
+++ b/internal/relayer/restore.go
@@ -10,9 +10,26 @@
 	"quetzalgrade.example/quetzalgrade/internal/subscriber"
 )
 
-// LogRestored makes a zone reader record itself again if the log has lost its record. It is called
-// when the log has come back from an older copy, and does not block.
-func (r *Relayer) LogRestored() {
+// EnterEpoch tells the relayer the log's epoch. If the log has come back from an older copy since the
+// epoch known before, also that in which a zone reader claimed its role, the reader records itself
+// again if the log has lost its record. It does not block.
+func (r *Relayer) EnterEpoch(epoch subscriber.Epoch) {
+	if r.raiseEpoch(epoch) {
+		r.signalRestored()
+	}
+}
+
+// raiseEpoch records the log's epoch, and reports whether it is later than one known before.
+func (r *Relayer) raiseEpoch(epoch subscriber.Epoch) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	isLater := r.epoch != 0 && epoch > r.epoch
+	r.epoch = max(r.epoch, epoch)
+	return isLater
+}
+
+// signalRestored makes Run check whether the log has lost this daemon's record. It does not block.
+func (r *Relayer) signalRestored() {
 	select {
 	case r.logRestored <- struct{}{}:
 	default:
@@ -35,7 +52,7 @@
 		snapshot, err := r.ReaderTopic.Newest(ctx)
 		if err != nil {
 			r.Logger.Debug("cannot read the zone readers from the log", "error", err)
-			time.AfterFunc(checkJitter, r.LogRestored)
+			time.AfterFunc(checkJitter, r.signalRestored)
 			return
 		}
 		reader := DecodeReaders(snapshot.Records, r.Logger)[r.Zone]
@@ -51,7 +68,7 @@
 			r.Logger.Info("zone reader recorded again after the log lost it", "zone", r.Zone, "at", snapshot.Next.Offset)
 			return
 		case !errors.Is(err, subscriber.ErrOffsetConflict):
-			time.AfterFunc(checkJitter, r.LogRestored)
+			time.AfterFunc(checkJitter, r.signalRestored)
 			return
 		}
 		sleep(ctx, time.Duration(rand.Int64N(int64(claimJitter))))
--- a/internal/runner/follow.go
+++ b/internal/runner/follow.go
@@ -62,11 +62,11 @@
 		return
 	}
 	r.epoch.Store(uint64(epoch))
-	if before == 0 {
-		return
+	// The zone reader may have claimed its role in an earlier epoch, before it read any topic.
+	r.relayer.EnterEpoch(epoch)
+	if before != 0 {
+		r.logRestores.Inc()
 	}
-	r.logRestores.Inc()
-	r.relayer.LogRestored()
 }
 
 // deletions returns records that delete the keys. Their decoded form says what the keys are of.
