--- a/internal/runner/evacuations_test.go
+++ b/internal/runner/evacuations_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 	"testing"
 
 	"quetzalgrade.example/quetzalgrade/internal/subscriber"
@@ -111,3 +112,28 @@
 		})
 	}
 }
+
+// TestEvacuationOfFormerEpoch guards against an evacuation that a withdrawal at a lower offset does
+// not end, because a peer passed on its record with the offset of a former epoch.
+func TestEvacuationOfFormerEpoch(t *testing.T) {
+	rows := map[string]struct {
+		epoch, recordEpoch subscriber.Epoch
+		want               int64
+	}{
+		"of the epoch":         {2, 2, 8},
+		"of a former epoch":    {2, 1, lostOffset},
+		"the log has no epoch": {0, 0, 8},
+	}
+	for name, row := range rows {
+		t.Run(name, func(t *testing.T) {
+			records := []operatorRecord{
+				{OperatorRecord{EvacuatedZone: "a"}, 8, row.recordEpoch},
+				{OperatorRecord{ReturnedZone: "b"}, 8, row.recordEpoch},
+			}
+			got := newEvacuationChange(subscriber.Change{Epoch: row.epoch}, records, nil).records
+			if want := []evacuationRecord{{"a", true, row.want}, {"b", false, row.want}}; !slices.Equal(got, want) {
+				t.Errorf("records got %v, want %v", got, want)
+			}
+		})
+	}
+}
--- a/internal/runner/statuses_test.go
+++ b/internal/runner/statuses_test.go
@@ -88,6 +88,9 @@
 		"only a peer knows": {changes: func(t *testing.T) []subscriber.Change {
 			return []subscriber.Change{{Epoch: 2, Complete: true, Records: []subscriber.Record{statusRecord(t, 1, 9, 8, promoter.Full)}}, {Epoch: 2, Lost: lostKey}}
 		}, want: promoter.Full, wantLacks: true},
+		"only a peer knows, at once": {changes: func(t *testing.T) []subscriber.Change {
+			return []subscriber.Change{{Epoch: 2, Complete: true, Records: []subscriber.Record{statusRecord(t, 1, 9, 8, promoter.Full)}}}
+		}, want: promoter.Full, wantLacks: true},
 		"order lost, too": {state: promoter.RolledBack, lostOrder: true, changes: func(*testing.T) []subscriber.Change { return []subscriber.Change{{Epoch: 2, Lost: lostKey}} }, want: promoter.RolledBack},
 		"order lost, others have it again": {state: promoter.RolledBack, lostOrder: true, changes: func(t *testing.T) []subscriber.Change {
 			return []subscriber.Change{{Epoch: 2, Lost: lostKey}, {Epoch: 2, Records: []subscriber.Record{statusRecord(t, 2, 4, 6, promoter.RolledBack)}}}
@@ -213,3 +216,34 @@
 		}
 	})
 }
+
+// TestActiveWhileLogLacksState guards against a final state that nobody writes again because the
+// daemon does not follow the status topic any more.
+func TestActiveWhileLogLacksState(t *testing.T) {
+	inLog := subscriber.Change{Epoch: 1, Complete: true, Records: []subscriber.Record{statusRecord(t, 1, 5, 8, promoter.Completed)}}
+	rows := map[string]struct {
+		changes []subscriber.Change
+		want    bool
+	}{
+		"not begun":            {nil, true},
+		"final, in the log":    {[]subscriber.Change{inLog}, false},
+		"final, lost":          {[]subscriber.Change{inLog, {Epoch: 2, Lost: []string{"rollout/helper"}}}, true},
+		"final, lost for good": {[]subscriber.Change{inLog, {Epoch: 2, Complete: true}}, true},
+	}
+	for name, row := range rows {
+		t.Run(name, func(t *testing.T) {
+			now := time.Hour
+			m := newTestManager(&now)
+			m.deps.Translator = statusTranslator{}
+			orderStep{epoch: 1, order: promoter.Order{Service: "helper", Target: "v2", Duration: time.Minute, Epoch: 1, Offset: 8}}.apply(m, &now)
+			for _, change := range row.changes {
+				m.applyStatuses(change)
+			}
+			// The restore was long ago.
+			now += time.Hour
+			if got := m.hasActive(); got != row.want {
+				t.Errorf("hasActive() got %t, want %t", got, row.want)
+			}
+		})
+	}
+}
