--- a/internal/runner/follow.go
+++ b/internal/runner/follow.go
@@ -34,12 +34,21 @@
 			order := *decoded.Order
 			r.logger.Info("rollout ordered", "service", order.Service, "target", order.Target, "duration", noter.FormatDuration(order.Duration), "offset", decoded.offset)
 			r.updateOperatorState(func(state *operatorState) { state.setOrder(order) })
-			r.rollouts.addOrder(order, change.Complete)
+			r.rollouts.addOrder(order)
 		case decoded.WithdrawnService != "":
-			r.updateOperatorState(func(state *operatorState) { state.removeOrder(decoded.WithdrawnService) })
-			r.rollouts.removeOrder(decoded.WithdrawnService)
+			r.removeOrder(decoded.WithdrawnService)
 		}
 	}
+	for _, service := range r.rollouts.missingOrders(change, records) {
+		r.logger.Info("rollout order is not in the log any more", "service", service)
+		r.removeOrder(service)
+	}
+}
+
+// removeOrder ends the rollout of a service.
+func (r *Runner) removeOrder(service string) {
+	r.updateOperatorState(func(state *operatorState) { state.removeOrder(service) })
+	r.rollouts.removeOrder(service)
 }
 
 // logEpoch returns the log's epoch of the last change of the operators' topic.
@@ -53,11 +62,11 @@
 		return
 	}
 	r.epoch.Store(uint64(epoch))
-	if before == 0 {
-		return
+	// The zone reader may have claimed its role in an earlier epoch, before it read any topic.
+	r.relayer.EnterEpoch(epoch)
+	if before != 0 {
+		r.logRestores.Inc()
 	}
-	r.logRestores.Inc()
-	r.relayer.LogRestored()
 }
 
 // deletions returns records that delete the keys. Their decoded form says what the keys are of.
--- a/internal/runner/orders_test.go
+++ b/internal/runner/orders_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -60,7 +61,7 @@
 	case s.withdraw:
 		m.removeOrder("helper")
 	case s.order.Service != "":
-		m.addOrder(s.order, false)
+		m.addOrder(s.order)
 	}
 }
 
@@ -136,3 +137,80 @@
 		})
 	}
 }
+
+// TestMissingOrders guards against a rollout that goes on although all records of the operators'
+// topic hold no order of it, and against one that ends because a lagging peer has yet to read it.
+func TestMissingOrders(t *testing.T) {
+	at := func(epoch uint64, offset int64) promoter.Order {
+		return promoter.Order{Service: "helper", Target: "v2", Duration: time.Minute, Epoch: epoch, Offset: offset}
+	}
+	rows := map[string]struct {
+		order promoter.Order
+		// records are the orders of a change.
+		records    []promoter.Order
+		epoch      subscriber.Epoch
+		next       int64
+		incomplete bool
+		want       []string
+	}{
+		"missing":                 {order: at(1, 8), epoch: 1, next: 9, want: []string{"helper"}},
+		"missing after a restore": {order: at(1, 8), epoch: 2, next: 4, want: []string{"helper"}},
+		// Nothing is compared.
+		"missing, the log has no epochs": {order: at(0, 8), next: 9},
+		"held":                           {order: at(1, 8), records: []promoter.Order{at(1, 8)}, epoch: 1, next: 9},
+		"held by a peer as lost":         {order: at(1, 8), records: []promoter.Order{at(1, 8)}, epoch: 2, next: 4},
+		"replaced":                       {order: at(1, 8), records: []promoter.Order{at(1, 9)}, epoch: 1, next: 10},
+		"not reached":                    {order: at(1, 8), epoch: 1, next: 8},
+		"of a later epoch":               {order: at(2, 3), epoch: 1, next: 9},
+		"lost, the hold has not ended":   {order: at(1, 8), epoch: 2, next: 4, incomplete: true},
+	}
+	for name, row := range rows {
+		t.Run(name, func(t *testing.T) {
+			now := time.Hour
+			m := newTestManager(&now)
+			orderStep{epoch: subscriber.Epoch(row.order.Epoch), order: row.order}.apply(m, &now)
+			_, records, _ := ordered(row.epoch, nil, row.records...)
+			change := subscriber.Change{Complete: !row.incomplete, Epoch: row.epoch, Next: row.next}
+			if got := m.missingOrders(change, records); !slices.Equal(got, row.want) {
+				t.Errorf("missingOrders() got %v, want %v", got, row.want)
+			}
+		})
+	}
+}
+
+// TestHoldOfOldOrders guards against a state that a daemon writes at once for an order that was
+// withdrawn before it started and that the restored log shows again.
+func TestHoldOfOldOrders(t *testing.T) {
+	rows := map[string]struct {
+		// changes come before the one with the order, which is the last.
+		changes []subscriber.Change
+		want    bool
+	}{
+		"all records":             {[]subscriber.Change{{Complete: true, Epoch: 1}}, true},
+		"a page":                  {[]subscriber.Change{{Complete: true, Epoch: 1}, {Epoch: 1}}, false},
+		"first after a restore":   {[]subscriber.Change{{Complete: true, Epoch: 1}, {Epoch: 2}}, true},
+		"second after a restore":  {[]subscriber.Change{{Complete: true, Epoch: 1}, {Epoch: 2}, {Epoch: 2}}, false},
+		"at the end of the hold":  {[]subscriber.Change{{Complete: true, Epoch: 1}, {Epoch: 2}, {Complete: true, Epoch: 2}}, true},
+		"a page of before":        {[]subscriber.Change{{Complete: true, Epoch: 1}, {Epoch: 2}, {Epoch: 1}}, false},
+		"the log names its epoch": {[]subscriber.Change{{Complete: true}, {Epoch: 1}}, false},
+		"the log names no epoch":  {[]subscriber.Change{{Complete: true}, {}}, false},
+	}
+	for name, row := range rows {
+		t.Run(name, func(t *testing.T) {
+			now := time.Hour
+			m := newTestManager(&now)
+			for _, change := range row.changes {
+				m.enterEpoch(change, nil, nil)
+			}
+			order := promoter.Order{Service: "helper", Target: "v2", Duration: time.Minute, Epoch: uint64(m.epoch), Offset: 8}
+			m.addOrder(order)
+			want := time.Duration(0)
+			if row.want {
+				want = now + lateHold
+			}
+			if got := m.byService["helper"].decideFrom; got != want {
+				t.Errorf("states are written from %v on, want %v", got, want)
+			}
+		})
+	}
+}
