Let a daemon that starts join sooner

Cause: a zone reader waited for all contacts in other zones, which may be down, for up to 3 s, and its followers asked it every 100 ms.

Change: other zones get 0.3 s; followers ask after 20 ms first, and double that up to 100 ms. What is heard after the join still counts, by the next verified read.

--- a/internal/runner/contacts.go
+++ b/internal/runner/contacts.go
@@ -20,11 +20,14 @@
 	maxContactReads = 5
 	// contactRefresh is the time between two exchanges of contacts after that.
 	contactRefresh = 30 * time.Second
-	// joinInterval is the time between two attempts to join after the start, joinTimeout bounds
-	// one within the zone, maxJoinTime all of them: a zone may be cut off from the others.
-	joinInterval = 100 * time.Millisecond
-	joinTimeout  = 150 * time.Millisecond
-	maxJoinTime  = 3 * time.Second
+	// minJoinInterval and maxJoinInterval bound the time between two attempts to join after the
+	// start, which doubles. joinTimeout bounds one within the zone, zonesJoinTimeout one with the
+	// other zones, which may be cut off or down, and maxJoinTime all of them.
+	minJoinInterval  = 20 * time.Millisecond
+	maxJoinInterval  = 100 * time.Millisecond
+	joinTimeout      = 150 * time.Millisecond
+	zonesJoinTimeout = 300 * time.Millisecond
+	maxJoinTime      = 3 * time.Second
 )
 
 // contacts finds a daemon in each other zone, through which the zones join. Each zone
@@ -93,20 +96,27 @@
 	case <-c.relayer.Decided():
 	case <-ctx.Done():
 	}
-	for ctx.Err() == nil && c.peers.members.Snapshot().revision == 0 {
+	for interval := minJoinInterval; ctx.Err() == nil && c.peers.members.Snapshot().revision == 0; interval = min(2*interval, maxJoinInterval) {
 		if reader, following := c.relayer.FollowedReader(); following {
 			c.probe(ctx, reader)
 		} else if _, _, err := c.readContacts(ctx); err == nil {
-			c.peers.prober.Join(ctx)
+			c.joinZones(ctx)
 			return
 		}
 		select {
-		case <-time.After(joinInterval):
+		case <-time.After(interval):
 		case <-ctx.Done():
 		}
 	}
 }
 
+// joinZones joins through the contacts of the other zones.
+func (c *contacts) joinZones(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, zonesJoinTimeout)
+	defer cancel()
+	c.peers.prober.Join(ctx)
+}
+
 // probe joins through the zone reader, which may be down.
 func (c *contacts) probe(ctx context.Context, reader netip.AddrPort) {
 	ctx, cancel := context.WithTimeout(ctx, joinTimeout)
