Count connections that a planned stop closes with unread bytes

Cause: the log named neither the connections that a stop closes nor what waited in them, so the three hypotheses of docs/incidents/CLOSE.md could not be told apart.

--- a/internal/runner/connections.go
+++ b/internal/runner/connections.go
@@ -5,6 +5,8 @@
 	"net"
 	"net/http"
 	"sync"
+
+	"quetzalgrade.example/quetzalgrade/internal/connector"
 )
 
 // connections keeps track of the clients' connections, so that a stopping daemon can close those
@@ -13,6 +15,17 @@
 type connections struct {
 	mu     sync.Mutex
 	states map[net.Conn]http.ConnState
+	counts connectionCounts
+}
+
+// connectionCounts counts connections that a stopping daemon has closed because they had no
+// request.
+type connectionCounts struct {
+	closed uint64
+	// unread counts those among them in which bytes waited that nobody had read.
+	unread uint64
+	// dropped counts the requests that were read from a connection that had been closed.
+	dropped uint64
 }
 
 func newConnections() *connections { return &connections{states: map[net.Conn]http.ConnState{}} }
@@ -29,6 +42,7 @@
 	}
 	server.Handler = http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
 		if connection, ok := request.Context().Value(connectionKey{}).(net.Conn); ok && !c.isOpen(connection) {
+			c.recordDropped()
 			panic(http.ErrAbortHandler)
 		}
 		handler.ServeHTTP(writer, request)
@@ -56,6 +70,20 @@
 	return open
 }
 
+// recordDropped counts a request that is dropped.
+func (c *connections) recordDropped() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.counts.dropped++
+}
+
+// closeCounts returns the counts of closed connections.
+func (c *connections) closeCounts() connectionCounts {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.counts
+}
+
 // close closes the connections that are idle, and those that have had no request yet if withFresh
 // is set. It returns the numbers of connections that are left with a request, and without one.
 func (c *connections) close(withFresh bool) (active, fresh int) {
@@ -69,6 +97,10 @@
 			fresh++
 		default:
 			delete(c.states, connection)
+			c.counts.closed++
+			if connector.Peek(connection) == connector.PendingData {
+				c.counts.unread++
+			}
 			_ = connection.Close()
 		}
 	}
--- a/internal/runner/stop.go
+++ b/internal/runner/stop.go
@@ -57,7 +57,9 @@
 	announced.Go(func() { r.peers.prober.AnnounceLeaving(ctx) })
 	defer announced.Wait()
 	sleepUntil(ctx, times.unlistedAt)
+	late := time.Since(times.unlistedAt)
 	_ = r.listeners.clients.Close()
+	defer r.logConnections(late)
 	if !r.awaitRequests(ctx, times.unlistedAt, times.requestsEndAt) {
 		r.logger.Warn("requests still running at the end of the stop grace")
 		r.endRequests(forwarder.ErrStopping)
@@ -65,6 +67,13 @@
 	}
 }
 
+// logConnections logs what became of the connections in a planned stop. late is how much later
+// than planned the daemon began to close them, because it did not get the processor before.
+func (r *Runner) logConnections(late time.Duration) {
+	counts := r.connections.closeCounts()
+	r.logger.Info("unused connections closed", "closed", counts.closed, "unread", counts.unread, "dropped", counts.dropped, "late", late)
+}
+
 // awaitRequests closes idle connections and waits until no other one has a request and those
 // without one had time to send it since the load balancer stopped to send connections, but not
 // longer than the end. It reports whether no request is left.
