Let the reader of a connection decide whether a stop closes it

Callers saw: around planned work alone, requests on kept connections, bookings too, that got neither a response nor a refusal (LOST); the connection ended some tenths of a second later. Cause: the stop closed connections whose last known state was idle. net/http reports a request only after it has read the whole head, and a daemon that is short of processor time reads it late; a request that was read between was dropped by the handler's guard. Class: a decision on a state that another goroutine reports late. Why it works: a request that has been read, or lies in the socket at the last read, keeps the connection open until its response is sent; nothing is closed by anyone else.

--- a/internal/connector/pending.go
+++ b/internal/connector/pending.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"syscall"
+	"time"
 )
 
 // Pending is what a connection has received that nobody has read yet.
@@ -38,17 +39,56 @@
 
 func peek(fd int) Pending {
 	var buffer [1]byte
+	switch n := receive(fd, buffer[:], syscall.MSG_PEEK); {
+	case n > 0:
+		return PendingData
+	case n == noData:
+		return PendingNothing
+	default:
+		return PendingEnd
+	}
+}
+
+// pendingWait is how long ReadPending waits for data in a connection that is not a socket.
+const pendingWait = time.Millisecond
+
+// ReadPending reads what waits in a connection, without waiting for more. It returns the number of
+// bytes, which is 0 if there are none or the connection has ended. A read deadline that is over
+// does not keep it from reading.
+func ReadPending(connection net.Conn, data []byte) int {
+	socket, ok := connection.(syscall.Conn)
+	if !ok {
+		_ = connection.SetReadDeadline(time.Now().Add(pendingWait))
+		n, _ := connection.Read(data)
+		return n
+	}
+	raw, err := socket.SyscallConn()
+	if err != nil {
+		return 0
+	}
+	n := 0
+	_ = raw.Control(func(fd uintptr) { n = receive(int(fd), data, 0) })
+	return max(0, n)
+}
+
+// receive reads from a socket without waiting. It returns the number of bytes, 0 at the end of the
+// stream, noData if nothing waits, and failed if the connection has failed.
+func receive(fd int, data []byte, flags int) int {
 	for {
-		n, _, err := syscall.Recvfrom(fd, buffer[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		switch {
-		case err == syscall.EINTR:
-			continue
-		case err == syscall.EAGAIN:
-			return PendingNothing
-		case err == nil && n > 0:
-			return PendingData
+		n, _, err := syscall.Recvfrom(fd, data, syscall.MSG_DONTWAIT|flags)
+		switch err {
+		case nil:
+			return n
+		case syscall.EINTR:
+		case syscall.EAGAIN:
+			return noData
 		default:
-			return PendingEnd
+			return failed
 		}
 	}
 }
+
+const (
+	noData = -1
+	failed = -2
+)
--- /dev/null
+++ b/internal/drainer/drainer_test.go
@@ -0,0 +1,370 @@
+package drainer_test
+
+import (
+	"bufio"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"quetzalgrade.example/quetzalgrade/internal/drainer"
+)
+
+// maxWait bounds the waits of a test.
+const maxWait = 10 * time.Second
+
+const request = "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\n\r\nx"
+
+// hookedConn calls functions around the server's reads.
+type hookedConn struct {
+	net.Conn
+	// beforeRead is called before each read, afterRead with the number of the read that has
+	// got some bytes, before the server has them.
+	beforeRead func()
+	afterRead  func(read int)
+	reads      atomic.Int64
+}
+
+func (c *hookedConn) Read(data []byte) (int, error) {
+	c.beforeRead()
+	n, err := c.Conn.Read(data)
+	if n > 0 {
+		c.afterRead(int(c.reads.Add(1)))
+	}
+	return n, err
+}
+
+// hookedSocket is a hookedConn that can be inspected as a socket.
+type hookedSocket struct {
+	hookedConn
+	syscall.Conn
+}
+
+// hookedListener makes hooked connections.
+type hookedListener struct {
+	net.Listener
+	beforeRead func()
+	afterRead  func(read int)
+}
+
+func (l *hookedListener) Accept() (net.Conn, error) {
+	connection, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &hookedSocket{hookedConn{Conn: connection, beforeRead: l.beforeRead, afterRead: l.afterRead}, connection.(syscall.Conn)}, nil
+}
+
+// testServer is a server with a drainer on a socket.
+type testServer struct {
+	t        *testing.T
+	drainer  *drainer.Drainer
+	server   *http.Server
+	listener *hookedListener
+	served   atomic.Int64
+	// idled counts how often a connection became idle, and idle gets a value each time.
+	idled atomic.Int64
+	idle  chan struct{}
+}
+
+func newTestServer(t *testing.T) *testServer {
+	t.Helper()
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatalf("Listen() got error %v, want nil", err)
+	}
+	s := &testServer{t: t, drainer: drainer.New(), idle: make(chan struct{}, 9),
+		listener: &hookedListener{inner, func() {}, func(int) {}}}
+	s.server = &http.Server{Handler: http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		s.served.Add(1)
+	})}
+	s.drainer.Watch(s.server)
+	setState := s.server.ConnState
+	s.server.ConnState = func(connection net.Conn, state http.ConnState) {
+		setState(connection, state)
+		if state == http.StateIdle {
+			s.idled.Add(1)
+			s.idle <- struct{}{}
+		}
+	}
+	return s
+}
+
+// start serves until the test ends and returns a client's connection.
+func (s *testServer) start() net.Conn {
+	s.t.Helper()
+	done := make(chan error, 1)
+	go func() { done <- s.server.Serve(s.drainer.Listen(s.listener)) }()
+	client, err := net.Dial("tcp", s.listener.Addr().String())
+	if err != nil {
+		s.t.Fatalf("Dial() got error %v, want nil", err)
+	}
+	if err := client.SetDeadline(time.Now().Add(maxWait)); err != nil {
+		s.t.Fatalf("SetDeadline() got error %v, want nil", err)
+	}
+	s.t.Cleanup(func() {
+		_ = client.Close()
+		_ = s.server.Close()
+		if err := <-done; !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
+			s.t.Errorf("Serve() got error %v, want %v", err, http.ErrServerClosed)
+		}
+	})
+	return client
+}
+
+// drain drains for a time in which everything that can be closed is.
+func (s *testServer) drain() bool {
+	now := time.Now()
+	return s.drainer.Drain(s.t.Context(), now.Add(-time.Minute), now.Add(maxWait))
+}
+
+// exchange sends a request and reads its response.
+func exchange(client io.ReadWriter, reader *bufio.Reader) error {
+	if _, err := io.Copy(client, strings.NewReader(request)); err != nil {
+		return err
+	}
+	response, err := http.ReadResponse(reader, nil)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = response.Body.Close() }()
+	_, err = io.Copy(io.Discard, response.Body)
+	return err
+}
+
+// TestRequestThatWaitsInSocketIsServed guards against a request that is lost because it waits,
+// unread, in a connection that counts as unused when a server drains.
+func TestRequestThatWaitsInSocketIsServed(t *testing.T) {
+	rows := map[string]struct{ earlier int64 }{"kept connection": {1}, "new connection": {0}}
+	for name, row := range rows {
+		t.Run(name, func(t *testing.T) {
+			s := newTestServer(t)
+			held := make(chan struct{})
+			waiting := make(chan struct{}, 9)
+			s.listener.beforeRead = func() {
+				if s.idled.Load() == row.earlier {
+					waiting <- struct{}{}
+					<-held
+				}
+			}
+			client := s.start()
+			reader := bufio.NewReader(client)
+			if row.earlier > 0 {
+				if err := exchange(client, reader); err != nil {
+					t.Fatalf("first exchange got error %v, want nil", err)
+				}
+				<-s.idle
+			}
+			if _, err := io.WriteString(client, request); err != nil {
+				t.Fatalf("write got error %v, want nil", err)
+			}
+			<-waiting
+			time.AfterFunc(100*time.Millisecond, func() { close(held) })
+			drained := make(chan bool, 1)
+			go func() { drained <- s.drain() }()
+			response, err := http.ReadResponse(reader, nil)
+			if err != nil {
+				t.Fatalf("response got error %v, want one", err)
+			}
+			_ = response.Body.Close()
+			if !<-drained {
+				t.Error("Drain() got false, want true")
+			}
+			if got := s.served.Load(); got != row.earlier+1 {
+				t.Errorf("served requests got %d, want %d", got, row.earlier+1)
+			}
+			if _, err := reader.ReadByte(); !errors.Is(err, io.EOF) {
+				t.Errorf("read after Drain() got error %v, want %v", err, io.EOF)
+			}
+			if got := s.drainer.Counts().Found; got != 1 {
+				t.Errorf("found requests got %d, want 1", got)
+			}
+		})
+	}
+}
+
+// TestRequestThatHasBeenReadIsServed guards against a request that is dropped, or passed on and cut
+// without a response: the server drains just when it has read the request and has not begun to
+// serve it.
+func TestRequestThatHasBeenReadIsServed(t *testing.T) {
+	for name, drainAt := range map[string]int{"first request": 1, "second request": 2} {
+		t.Run(name, func(t *testing.T) {
+			s := newTestServer(t)
+			drained := make(chan bool, 1)
+			s.listener.afterRead = func(read int) {
+				if read == drainAt {
+					go func() { drained <- s.drain() }()
+					// Drain has asked the connections to close when it first waits.
+					time.Sleep(50 * time.Millisecond)
+				}
+			}
+			client := s.start()
+			reader := bufio.NewReader(client)
+			for i := range drainAt {
+				if err := exchange(client, reader); err != nil {
+					t.Fatalf("exchange %d got error %v, want nil", i+1, err)
+				}
+				<-s.idle
+			}
+			if !<-drained {
+				t.Error("Drain() got false, want true")
+			}
+			if got := s.served.Load(); got != int64(drainAt) {
+				t.Errorf("served requests got %d, want %d", got, drainAt)
+			}
+		})
+	}
+}
+
+// TestRequestOfClosedConnectionDoesNotRun guards against a request that is passed on although its
+// connection has been closed, so that it is cut without a response.
+func TestRequestOfClosedConnectionDoesNotRun(t *testing.T) {
+	s := newTestServer(t)
+	s.listener.afterRead = func(read int) {
+		if read == 2 {
+			_ = s.server.Close()
+		}
+	}
+	client := s.start()
+	reader := bufio.NewReader(client)
+	if err := exchange(client, reader); err != nil {
+		t.Fatalf("first exchange got error %v, want nil", err)
+	}
+	<-s.idle
+	if err := exchange(client, reader); err == nil {
+		t.Error("exchange on a closed connection got a response, want an error")
+	}
+	if got := s.served.Load(); got != 1 {
+		t.Errorf("served requests got %d, want 1", got)
+	}
+}
+
+// TestUnusedConnectionsClose guards against a stop that waits for connections on which nothing is
+// sent.
+func TestUnusedConnectionsClose(t *testing.T) {
+	s := newTestServer(t)
+	kept := s.start()
+	reader := bufio.NewReader(kept)
+	if err := exchange(kept, reader); err != nil {
+		t.Fatalf("exchange got error %v, want nil", err)
+	}
+	<-s.idle
+	fresh, err := net.Dial("tcp", s.listener.Addr().String())
+	if err != nil {
+		t.Fatalf("Dial() got error %v, want nil", err)
+	}
+	defer func() { _ = fresh.Close() }()
+	if err := fresh.SetDeadline(time.Now().Add(maxWait)); err != nil {
+		t.Fatalf("SetDeadline() got error %v, want nil", err)
+	}
+	began := time.Now()
+	if !s.drain() {
+		t.Error("Drain() got false, want true")
+	}
+	if took := time.Since(began); took > 5*time.Second {
+		t.Errorf("Drain() took %v, want at once", took)
+	}
+	for name, client := range map[string]io.Reader{"kept": reader, "fresh": fresh} {
+		if _, err := client.Read(make([]byte, 1)); !errors.Is(err, io.EOF) {
+			t.Errorf("read on the %s connection got error %v, want %v", name, err, io.EOF)
+		}
+	}
+}
+
+// TestIdleTimeoutWithWaitingRequest guards against a request that is lost because the idle timeout
+// of its connection ends while it waits there.
+func TestIdleTimeoutWithWaitingRequest(t *testing.T) {
+	s := newTestServer(t)
+	s.server.IdleTimeout = 50 * time.Millisecond
+	held := make(chan struct{})
+	var hold sync.Once
+	s.listener.beforeRead = func() {
+		if s.idled.Load() == 1 {
+			hold.Do(func() { <-held })
+		}
+	}
+	client := s.start()
+	reader := bufio.NewReader(client)
+	if err := exchange(client, reader); err != nil {
+		t.Fatalf("first exchange got error %v, want nil", err)
+	}
+	<-s.idle
+	time.AfterFunc(200*time.Millisecond, func() { close(held) })
+	if err := exchange(client, reader); err != nil {
+		t.Errorf("exchange got error %v, want nil", err)
+	}
+	if got := s.served.Load(); got != 2 {
+		t.Errorf("served requests got %d, want 2", got)
+	}
+}
+
+// TestRequestWithBodyDuringDrain guards against a long request that is ended by the drain, as a
+// read of its body or the watch for the client's end must not be.
+func TestRequestWithBodyDuringDrain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := drainer.New()
+		server := httptest.NewUnstartedServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+			body, err := io.ReadAll(r.Body)
+			if err != nil || len(body) != 1 {
+				t.Errorf("body got %q (%v), want one byte", body, err)
+			}
+			time.Sleep(5 * time.Second)
+			if err := r.Context().Err(); err != nil {
+				t.Errorf("context of the request got error %v, want none", err)
+			}
+		})).Config
+		d.Watch(server)
+		near, far := net.Pipe()
+		listener := &pipeListener{accepted: make(chan net.Conn, 1)}
+		listener.accepted <- far
+		go func() { _ = server.Serve(d.Listen(listener)) }()
+		reader := bufio.NewReader(near)
+		go func() {
+			_, _ = io.WriteString(near, strings.TrimSuffix(request, "x"))
+			time.Sleep(2 * time.Second)
+			_, _ = io.WriteString(near, "x")
+		}()
+		time.Sleep(time.Second)
+		drained := make(chan bool, 1)
+		go func() { drained <- d.Drain(t.Context(), time.Now(), time.Now().Add(time.Minute)) }()
+		response, err := http.ReadResponse(reader, nil)
+		if err != nil {
+			t.Fatalf("response got error %v, want one", err)
+		}
+		_ = response.Body.Close()
+		if !<-drained {
+			t.Error("Drain() got false, want true")
+		}
+		_ = server.Close()
+	})
+}
+
+// pipeListener accepts connections from a channel.
+type pipeListener struct {
+	accepted chan net.Conn
+	end      sync.Once
+}
+
+func (l *pipeListener) Accept() (net.Conn, error) {
+	connection, ok := <-l.accepted
+	if !ok {
+		return nil, net.ErrClosed
+	}
+	return connection, nil
+}
+
+func (l *pipeListener) Close() error {
+	l.end.Do(func() { close(l.accepted) })
+	return nil
+}
+
+func (l *pipeListener) Addr() net.Addr { return &net.TCPAddr{} }
--- a/internal/runner/listen.go
+++ b/internal/runner/listen.go
@@ -72,7 +72,7 @@
 	ctx, r.endRequests = context.WithCancelCause(ctx)
 	server := r.newServer(r.forwarder)
 	server.BaseContext = func(net.Listener) context.Context { return ctx }
-	r.connections.serveOn(server)
+	r.drainer.Watch(server)
 	return server
 }
 
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -20,6 +20,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"quetzalgrade.example/quetzalgrade/internal/connector"
+	"quetzalgrade.example/quetzalgrade/internal/drainer"
 	"quetzalgrade.example/quetzalgrade/internal/exchanger"
 	"quetzalgrade.example/quetzalgrade/internal/forwarder"
 	"quetzalgrade.example/quetzalgrade/internal/keeper"
@@ -172,7 +173,7 @@
 	stopTimes    atomic.Pointer[stopTimes]
 	listeners    listeners
 	clientServer *http.Server
-	connections  *connections
+	drainer      *drainer.Drainer
 	// endRequests ends the clients' requests with a cause.
 	endRequests  context.CancelCauseFunc
 	otherServers []*http.Server
@@ -183,13 +184,13 @@
 func New(settings Settings, deps Dependencies) (*Runner, error) {
 	logOutput := noter.New(deps.LogOutput)
 	r := &Runner{
-		deps:        deps,
-		noter:       logOutput,
-		logger:      logOutput.Logger("entry", settings.LogLevel),
-		system:      keeper.NewSystem(),
-		metrics:     metrics.NewSet(),
-		connections: newConnections(),
-		startedAt:   time.Now(),
+		deps:      deps,
+		noter:     logOutput,
+		logger:    logOutput.Logger("entry", settings.LogLevel),
+		system:    keeper.NewSystem(),
+		metrics:   metrics.NewSet(),
+		drainer:   drainer.New(),
+		startedAt: time.Now(),
 	}
 	r.settings.Store(&settings)
 	memory := deps.Memory
@@ -340,7 +341,7 @@
 		run(r.peers.prober.RunUrgent)
 	}
 	r.clientServer = r.newClientServer(ctx)
-	r.serve(group, r.clientServer, r.listeners.clients)
+	r.serve(group, r.clientServer, r.drainer.Listen(r.listeners.clients))
 	for _, handled := range []struct {
 		listener net.Listener
 		handler  http.Handler
