--- a/internal/connector/fabric.go
+++ b/internal/connector/fabric.go
@@ -28,6 +28,7 @@
 	zones      map[netip.Addr]string
 	partitions map[zonePair]bool
 	paused     map[netip.Addr]bool
+	starved    map[netip.AddrPort]timeSpan
 	conns      map[*pipeConn]struct{}
 	changed    chan struct{}
 	delay      func(from, to string) time.Duration
@@ -46,6 +47,7 @@
 		zones:      map[netip.Addr]string{},
 		partitions: map[zonePair]bool{},
 		paused:     map[netip.Addr]bool{},
+		starved:    map[netip.AddrPort]timeSpan{},
 		conns:      map[*pipeConn]struct{}{},
 		changed:    make(chan struct{}),
 		delay:      delay,
@@ -70,6 +72,28 @@
 // Heal undoes Partition.
 func (f *Fabric) Heal(from, to string) { f.update(func() { delete(f.partitions, zonePair{from, to}) }) }
 
+// timeSpan is the time from one moment until another.
+type timeSpan struct {
+	from time.Time
+	to   time.Time
+}
+
+// Starve gives the server that listens on an address no processor time in a span of time: it does
+// not begin a read from a client, nor get what it has read.
+func (f *Fabric) Starve(addr netip.AddrPort, from, to time.Time) {
+	f.update(func() { f.starved[addr] = timeSpan{from, to} })
+}
+
+// awaitProcessor waits until the server that listens on an address gets processor time.
+func (f *Fabric) awaitProcessor(addr netip.AddrPort) {
+	f.mu.Lock()
+	span, starved := f.starved[addr]
+	f.mu.Unlock()
+	if now := time.Now(); starved && !now.Before(span.from) {
+		time.Sleep(span.to.Sub(now))
+	}
+}
+
 // Pause blocks all traffic of a host, as if its process were paused.
 func (f *Fabric) Pause(addr netip.Addr) { f.update(func() { f.paused[addr] = true }) }
 
@@ -229,6 +253,16 @@
 	closed chan struct{}
 }
 
+// Read implements net.Conn.
+func (c *pipeConn) Read(data []byte) (int, error) {
+	c.fabric.awaitProcessor(c.local)
+	n, err := c.Conn.Read(data)
+	if n > 0 {
+		c.fabric.awaitProcessor(c.local)
+	}
+	return n, err
+}
+
 // Write implements net.Conn.
 func (c *pipeConn) Write(data []byte) (int, error) {
 	if err := c.fabric.awaitReachable(c.local.Addr(), c.remote.Addr(), c.closed); err != nil {
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -25,6 +25,7 @@
 	"quetzalgrade.example/quetzalgrade/internal/compiler"
 	"quetzalgrade.example/quetzalgrade/internal/configurator"
 	"quetzalgrade.example/quetzalgrade/internal/connector"
+	"quetzalgrade.example/quetzalgrade/internal/drainer"
 	"quetzalgrade.example/quetzalgrade/internal/estimator"
 	"quetzalgrade.example/quetzalgrade/internal/gateway"
 	"quetzalgrade.example/quetzalgrade/internal/gossiper"
@@ -103,9 +104,9 @@
 	dueChanges    map[string]time.Time
 	listeners     listeners
 	servers       []*http.Server
-	// clientServer is the element of servers that handles the requests of clients.
-	clientServer *http.Server
-	background   sync.WaitGroup
+	// drainer keeps track of the connections of clients.
+	drainer    *drainer.Drainer
+	background sync.WaitGroup
 	// appliedRevision is the number of the newest revision that
 	// updateConfiguration has handled.
 	appliedRevision atomic.Uint64
@@ -138,6 +139,7 @@
 		metrics:      metrics.NewSet(),
 		dueChanges:   map[string]time.Time{},
 		killed:       make(chan struct{}),
+		drainer:      drainer.New(),
 	}
 	if err := s.listen(); err != nil {
 		return nil, err
@@ -340,18 +342,20 @@
 			ErrorLog:          s.logger.StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug}),
 		}
 		s.servers = append(s.servers, server)
-		if spec.listener == s.listeners.clients {
-			s.clientServer = server
+		listener := spec.listener
+		if listener == s.listeners.clients {
+			s.drainer.Watch(server)
+			listener = s.drainer.Listen(listener)
 		}
-		group.Go(func() error { return serveUntilClosed(server, spec.listener) })
+		group.Go(func() error { return serveUntilClosed(server, listener) })
 	}
 }
 
-// serveUntilClosed serves until the server is closed. It returns nil then, since
+// serveUntilClosed serves until the server or its listener is closed. It returns nil then, since
 // an error would cancel the whole group and with it the components that a
 // graceful stop still needs.
 func serveUntilClosed(server *http.Server, listener net.Listener) error {
-	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
 		return err
 	}
 	return nil
--- a/internal/server/stop.go
+++ b/internal/server/stop.go
@@ -31,11 +31,11 @@
 	s.gateway.DisableKeepAlives()
 	s.prober.AnnounceLeaving(ctx)
 	sleep(ctx, unreadyDelay)
-	drainCtx, cancel := context.WithTimeout(ctx, s.config.DrainTimeout)
-	if err := s.clientServer.Shutdown(drainCtx); err != nil {
+	_ = s.listeners.clients.Close()
+	now := time.Now()
+	if !s.drainer.Drain(ctx, now, now.Add(s.config.DrainTimeout)) {
 		s.logger.Warn("drain timeout exceeded; aborting the remaining requests", "active", s.gateway.ActiveRequests())
 	}
-	cancel()
 	handoverCtx, cancel := context.WithTimeout(ctx, handoverTimeout)
 	defer cancel()
 	s.limiter.ReleaseAll()
