Count a planned stop from when the signal came

Cause: the daemon, at 0.144 of a core, noticed the signal of 26.000 only at 26.6, and counted the time until which it passes streams on (2.6 s), and the grace, from there. Class: a bound that counts from when a starved process notices an event, not from the event. Change: a daemon measures how long a goroutine that could run waits for the processor, and takes the signal to have come three such waits ago (a quarter of the grace at most), since three goroutines run one after the other from the signal to the stop. The stop's line and a gauge tell. Evidence: the daemon's own log; 'daemon stopping' bears 0.6 s after the signal, the streams came 3.105 and 3.147 s after it. Tests: TestDelayOfStarvedDaemon (40 busy goroutines on one thread; 1.4 ms without the yield, over 150 ms with it), TestDelayOfDaemonThatRuns, TestStopOfStarvedDaemon. No test of the whole daemon: virtual time cannot take the processor from goroutines.

--- a/internal/runner/listen.go
+++ b/internal/runner/listen.go
@@ -108,6 +108,7 @@
 	gauge("operator_reads", func() float64 { return float64(r.operatorTopic.Reads()) })
 	gauge("endpoint_reads", func() float64 { return float64(r.endpointTopic.Reads()) })
 	gauge("relayed_reads", func() float64 { return float64(r.relayer.RelayedReads()) })
+	gauge("scheduling_delay_seconds", func() float64 { return r.delay.delay().Seconds() })
 	gauge("body_bytes", func() float64 { return float64(r.bodies.Used()) })
 	gauge("endpoints", func() float64 { endpoints, _ := r.tracker.Counts(); return float64(endpoints) })
 	gauge("ejections", func() float64 { _, ejections := r.tracker.Counts(); return float64(ejections) })
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -174,6 +174,7 @@
 	listeners    listeners
 	clientServer *http.Server
 	drainer      *drainer.Drainer
+	delay        *delayMeter
 	// endRequests ends the clients' requests with a cause.
 	endRequests  context.CancelCauseFunc
 	otherServers []*http.Server
@@ -190,6 +191,7 @@
 		system:    keeper.NewSystem(),
 		metrics:   metrics.NewSet(),
 		drainer:   drainer.New(),
+		delay:     newDelayMeter(),
 		startedAt: time.Now(),
 	}
 	r.settings.Store(&settings)
@@ -332,6 +334,7 @@
 	run(r.endpointTopic.Run)
 	run(r.rollouts.run)
 	run(r.sweep)
+	run(r.delay.run)
 	run(r.watchSettings)
 	if r.listeners.relay != nil {
 		run(r.relayer.Run)
--- a/internal/runner/stop.go
+++ b/internal/runner/stop.go
@@ -43,8 +43,10 @@
 // connections. A request that has not ended by then gets a response that says so.
 func (r *Runner) stop(ctx context.Context) {
 	grace := r.settings.Load().StopGrace
-	times := newStopTimes(time.Now(), grace)
-	r.logger.Info("daemon stopping", "grace", grace)
+	now, delay := time.Now(), r.delay.delay()
+	signalled := signalTime(now, delay, grace)
+	times := newStopTimes(signalled, grace)
+	r.logger.Info("daemon stopping", "grace", grace, "delay", delay, "noticed_after", now.Sub(signalled))
 	r.stopTimes.Store(times)
 	r.relayer.Drain()
 	ctx, cancel := context.WithDeadline(ctx, times.closedAt)
