End running requests by the latest moment of the signal

Change: refusals count from the earliest, the ends from the latest moment at which the signal may have come, and the listener closes by when it was noticed.

--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -29,10 +29,11 @@
 	// key and to decide that a route or an API key does not exist.
 	Fresh bool
 	// Draining is set if the daemon is stopping and asks clients to close their
-	// connections. Requests that are still running at RequestsEndAt are ended. Unlisted
-	// is set once the load balancer no longer sends connections.
+	// connections. Requests that are still running at RequestsEndAt are ended. Ending
+	// is set once so much of the stop is over that requests are refused that may last longer,
+	// those too that may be repeated.
 	Draining      bool
-	Unlisted      bool
+	Ending        bool
 	RequestsEndAt time.Time
 }
 
@@ -267,12 +268,11 @@
 	return c.readBody()
 }
 
-// checkStop rejects a request that a stopping daemon may not be able to end. While the load
-// balancer still sends connections, one that may be repeated is accepted, because most end
-// long before their deadlines.
+// checkStop rejects a request that a stopping daemon may not be able to end. In the first part of the
+// stop, one that may be repeated is accepted, because most end long before their deadlines.
 func (c *call) checkStop() *classifier.Error {
 	endsInTime := !c.deadline.After(c.view.RequestsEndAt)
-	if !c.view.Draining || endsInTime || c.route.Retryable() && !c.view.Unlisted {
+	if !c.view.Draining || endsInTime || c.route.Retryable() && !c.view.Ending {
 		return nil
 	}
 	return classifier.New(classifier.Stopping, "the instance stops before the request must end").WithRetryAfter(notReadyRetryAfter)
--- a/internal/runner/delay.go
+++ b/internal/runner/delay.go
@@ -13,7 +13,7 @@
 	// signalHops is the number of goroutines that run one after the other from the arrival of a
 	// signal until the daemon begins to stop. Each of them waits for the processor.
 	signalHops = 3
-	// maxSignalDelayShare is the share of the grace by which a stop begins earlier at most.
+	// maxSignalDelayShare is the share of the grace after which a signal is noticed at the latest.
 	maxSignalDelayShare = 0.25
 )
 
@@ -58,9 +58,11 @@
 	return max(0, overdue, time.Duration(m.last.Load()))
 }
 
-// signalTime estimates when the signal came that a daemon with a scheduling delay notices now. The
-// grace counts from the signal, and a daemon that is short of processor time notices it late.
-func signalTime(now time.Time, delay, grace time.Duration) time.Time {
-	earliest := time.Duration(maxSignalDelayShare * float64(grace))
-	return now.Add(-min(signalHops*delay, earliest))
+// signalTimes estimates when the signal came, at the earliest and at the latest, that a daemon with
+// a scheduling delay notices now. A daemon that is short of processor time notices it late.
+func signalTimes(now time.Time, delay, grace time.Duration) (earliest, latest time.Time) {
+	longest := time.Duration(maxSignalDelayShare * float64(grace))
+	earliest = now.Add(-min(signalHops*delay, longest))
+	latest = now.Add(-min(delay, responseMargin))
+	return earliest, latest
 }
--- a/internal/runner/delay_test.go
+++ b/internal/runner/delay_test.go
@@ -64,35 +64,43 @@
 	})
 }
 
-// TestStopOfStarvedDaemon guards against a stream that a stopping daemon passes on more than 3 s
-// after the signal and cuts at the end of the grace, because it counts both from when it noticed
-// the signal.
+// TestStopOfStarvedDaemon guards against a stop that counts from when a daemon without processor
+// time notices the signal: it passes streams on that it cuts at the end of the grace, is killed
+// before it has ended them, or, if it takes the signal for older than it is, ends them too soon.
 func TestStopOfStarvedDaemon(t *testing.T) {
+	const (
+		grace = 8 * time.Second
+		// What came in the first 3 s may be ended in the last sixth of the grace.
+		lastStream = 3 * time.Second
+		earliest   = grace - grace/6
+	)
 	signalled := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
-	const grace = 8 * time.Second
 	rows := map[string]struct {
-		// noticed is how much later than the signal the daemon notices it.
-		noticed time.Duration
-		delay   time.Duration
-		// wantUnlisted is the latest time from the signal at which the daemon still passes
-		// streams on, wantClosed that at which it closes the last connections.
-		wantUnlisted time.Duration
-		wantClosed   time.Duration
+		// noticed is how much later than the signal the daemon notices it, delay the
+		// scheduling delay that it has measured.
+		noticed, delay time.Duration
 	}{
-		"at once":                      {0, 0, unreadyPeriod, grace - stopMargin},
-		"one round for each goroutine": {600 * time.Millisecond, 200 * time.Millisecond, unreadyPeriod, grace - stopMargin},
-		"delay has grown since":        {450 * time.Millisecond, 200 * time.Millisecond, unreadyPeriod, grace - stopMargin},
-		"delay is longer than a stop":  {2 * time.Second, 5 * time.Second, unreadyPeriod, grace - stopMargin},
+		"at once":                      {0, 0},
+		"one round for each goroutine": {600 * time.Millisecond, 200 * time.Millisecond},
+		"delay was longer before":      {20 * time.Millisecond, 400 * time.Millisecond},
+		"delay has grown since":        {800 * time.Millisecond, 200 * time.Millisecond},
+		"one long wait":                {400 * time.Millisecond, 365 * time.Millisecond},
+		"delay is longer than a stop":  {900 * time.Millisecond, 5 * time.Second},
 	}
 	for name, row := range rows {
 		t.Run(name, func(t *testing.T) {
-			now := signalled.Add(row.noticed)
-			times := newStopTimes(signalTime(now, row.delay, grace), grace)
-			if got := times.unlistedAt.Sub(signalled); got > row.wantUnlisted {
-				t.Errorf("end of new connections got %v after the signal, want at most %v", got, row.wantUnlisted)
+			times := newStopTimes(signalled.Add(row.noticed), row.delay, grace)
+			if got := times.refusedFrom.Sub(signalled); got > lastStream {
+				t.Errorf("refusals got from %v after the signal, want from %v at the latest", got, lastStream)
+			}
+			if got := times.unlistedAt.Sub(signalled); got < unreadyPeriod {
+				t.Errorf("listener closed got %v after the signal, want %v at the earliest", got, unreadyPeriod)
+			}
+			if got := times.requestsEndAt.Sub(signalled); got < earliest {
+				t.Errorf("end of requests got %v after the signal, want %v at the earliest", got, earliest)
 			}
-			if got := times.closedAt.Sub(signalled); got > row.wantClosed {
-				t.Errorf("close got %v after the signal, want at most %v", got, row.wantClosed)
+			if got := times.closedAt.Sub(signalled); got >= grace {
+				t.Errorf("end of connections got %v after the signal, want less than %v", got, grace)
 			}
 		})
 	}
--- a/internal/runner/stop.go
+++ b/internal/runner/stop.go
@@ -21,6 +21,9 @@
 
 // stopTimes are the times of a planned stop.
 type stopTimes struct {
+	// refusedFrom is when requests are refused that may not end in time, those too that may be
+	// repeated.
+	refusedFrom time.Time
 	// unlistedAt is when the load balancer sends no more connections, requestsEndAt when
 	// requests that are still running are ended, and closedAt when the connections are
 	// closed.
@@ -29,14 +32,27 @@
 	closedAt      time.Time
 }
 
-func newStopTimes(now time.Time, grace time.Duration) *stopTimes {
-	closedAt := now.Add(max(0, grace-stopMargin))
+// newStopTimes returns the times of a stop whose signal is noticed now. Each counts from the end of
+// the signal's span that is safe: requests are refused early rather than cut, and those that
+// run are ended late rather than cut, but before the grace is over.
+func newStopTimes(now time.Time, delay, grace time.Duration) *stopTimes {
+	earliest, latest := signalTimes(now, delay, grace)
+	closedAt := latest.Add(max(0, grace-stopMargin))
 	requestsEndAt := closedAt.Add(-responseMargin)
-	unlistedAt := now.Add(unreadyPeriod)
-	if unlistedAt.After(requestsEndAt) {
-		unlistedAt = requestsEndAt
+	return &stopTimes{
+		refusedFrom:   earlier(earliest.Add(unreadyPeriod), requestsEndAt),
+		unlistedAt:    earlier(now.Add(unreadyPeriod), requestsEndAt),
+		requestsEndAt: requestsEndAt,
+		closedAt:      closedAt,
 	}
-	return &stopTimes{unlistedAt: unlistedAt, requestsEndAt: requestsEndAt, closedAt: closedAt}
+}
+
+// earlier returns the earlier of two times.
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
 }
 
 // stop makes the daemon unready, waits for requests to end and closes the clients'
@@ -44,9 +60,8 @@
 func (r *Runner) stop(ctx context.Context) {
 	grace := r.settings.Load().StopGrace
 	now, delay := time.Now(), r.delay.delay()
-	signalled := signalTime(now, delay, grace)
-	times := newStopTimes(signalled, grace)
-	r.logger.Info("daemon stopping", "grace", grace, "delay", delay, "noticed_after", now.Sub(signalled))
+	times := newStopTimes(now, delay, grace)
+	r.logger.Info("daemon stopping", "grace", grace, "delay", delay)
 	r.stopTimes.Store(times)
 	r.relayer.Drain()
 	ctx, cancel := context.WithDeadline(ctx, times.closedAt)
--- a/internal/runner/view.go
+++ b/internal/runner/view.go
@@ -23,7 +23,7 @@
 	}
 	if times := r.stopTimes.Load(); times != nil {
 		view.Draining = true
-		view.Unlisted = !time.Now().Before(times.unlistedAt)
+		view.Ending = !time.Now().Before(times.refusedFrom)
 		view.RequestsEndAt = times.requestsEndAt
 	}
 	return view
