Accept what waits before a stop closes the listener

Change: the goroutine that accepts closes the listener, once no connection waits, and Drain waits for that. Drain closes the listener itself and counts from its first call. The stop's line shows the scheduling delay in place of the lateness of a timer, which says little. TestRequestThatHasBeenReadIsServed also wants that the request was found.

--- a/internal/connector/pending.go
+++ b/internal/connector/pending.go
@@ -4,6 +4,8 @@
 	"net"
 	"syscall"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // Pending is what a connection has received that nobody has read yet.
@@ -92,3 +94,23 @@
 	noData = -1
 	failed = -2
 )
+
+// HasWaiting reports whether a connection waits to be accepted by a listener. It does not if the
+// listener is not a socket.
+func HasWaiting(listener net.Listener) bool {
+	socket, ok := listener.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := socket.SyscallConn()
+	if err != nil {
+		return false
+	}
+	waiting := false
+	_ = raw.Control(func(fd uintptr) {
+		polled := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN}}
+		n, pollErr := unix.Poll(polled, 0)
+		waiting = pollErr == nil && n > 0 && polled[0].Revents&unix.POLLIN != 0
+	})
+	return waiting
+}
--- a/internal/drainer/connection.go
+++ b/internal/drainer/connection.go
@@ -39,19 +39,25 @@
 	c.receiving = false
 }
 
-// isUnused reports whether the connection has no request, and nothing of one has been read.
+// unused reports whether the connection has no request, and nothing of one has been read.
 // c.mu is held.
-func (c *connection) isUnused() bool {
+func (c *connection) unused() bool {
 	return !c.receiving && (c.state == http.StateNew || c.state == http.StateIdle)
 }
 
-// closeIfUnused asks the reader to close the connection if it is unused; one that has had no
-// request yet stays unless withFresh is set. It reports whether the connection has a request or is
-// closing.
-func (c *connection) closeIfUnused(withFresh bool) bool {
+// isUnused is unused for callers that do not hold c.mu.
+func (c *connection) isUnused() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.unused()
+}
+
+// askToClose makes the reader close the connection if it is unused; one that has had no request yet
+// stays unless withFresh is set. The connection is busy if it has a request or is closing.
+func (c *connection) askToClose(withFresh bool) (busy bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !c.isUnused() {
+	if !c.unused() {
 		return true
 	}
 	if c.state == http.StateNew && !withFresh {
@@ -69,7 +75,7 @@
 func (c *connection) mustClose() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.closing && c.isUnused()
+	return c.closing && c.unused()
 }
 
 // isClosed reports whether the server has closed the connection.
@@ -86,7 +92,7 @@
 	if !c.mustClose() {
 		n, err = c.Conn.Read(data)
 	}
-	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && c.isWaiting() {
+	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && c.isUnused() {
 		n, err = c.readPending(data)
 	}
 	if n > 0 {
@@ -95,13 +101,6 @@
 	return n, err
 }
 
-// isWaiting reports whether the reader waits for a request.
-func (c *connection) isWaiting() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.isUnused()
-}
-
 // readPending reads what waits in the connection. If that is nothing, it returns io.EOF if the
 // connection is to close, and os.ErrDeadlineExceeded otherwise.
 func (c *connection) readPending(data []byte) (int, error) {
@@ -118,7 +117,7 @@
 // recordRead records that bytes have been read, which keeps the connection open.
 func (c *connection) recordRead() {
 	c.mu.Lock()
-	found := c.closing && c.isUnused()
+	found := c.closing && c.unused()
 	if found {
 		// The rest of the request has the time that the server gave it.
 		_ = c.Conn.SetReadDeadline(c.deadline)
--- a/internal/drainer/drainer.go
+++ b/internal/drainer/drainer.go
@@ -5,15 +5,17 @@
 
 import (
 	"context"
+	"maps"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 )
 
 const (
-	// newConnectionWait is how long a connection may stay without a request after the server
-	// has stopped to accept connections.
+	// newConnectionWait is how long a connection may stay without a request after the drain has
+	// begun.
 	newConnectionWait = time.Second
 	// pollInterval is the time between two checks whether the requests have ended.
 	pollInterval = 20 * time.Millisecond
@@ -22,8 +24,11 @@
 // Drainer keeps track of the connections of one server. It is safe for concurrent use.
 type Drainer struct {
 	mu          sync.Mutex
+	listeners   map[*listener]struct{}
 	connections map[*connection]struct{}
 	counts      Counts
+	// drainedSince is when Drain was first called, or the zero time.
+	drainedSince time.Time
 }
 
 // Counts counts connections that were to close because they had no request.
@@ -33,8 +38,10 @@
 	Found  uint64
 }
 
-// New returns a drainer without connections.
-func New() *Drainer { return &Drainer{connections: map[*connection]struct{}{}} }
+// New returns a drainer without listeners and connections.
+func New() *Drainer {
+	return &Drainer{listeners: map[*listener]struct{}{}, connections: map[*connection]struct{}{}}
+}
 
 // connectionKey is the key of a request's connection in its context.
 type connectionKey struct{}
@@ -59,31 +66,6 @@
 	})
 }
 
-// Listen returns a listener whose connections the drainer keeps track of.
-func (d *Drainer) Listen(inner net.Listener) net.Listener { return &listener{inner, d} }
-
-type listener struct {
-	net.Listener
-	drainer *Drainer
-}
-
-// Accept implements net.Listener.
-func (l *listener) Accept() (net.Conn, error) {
-	inner, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
-	}
-	c := &connection{Conn: inner, drainer: l.drainer}
-	l.drainer.add(c)
-	return c, nil
-}
-
-func (d *Drainer) add(c *connection) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.connections[c] = struct{}{}
-}
-
 func (d *Drainer) remove(c *connection) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -109,22 +91,24 @@
 	d.counts.Found++
 }
 
-// Drain closes the connections that are unused or become so, and waits until none is left. One
-// that has had no request yet may send one until newConnectionWait after the listener was closed,
-// and later while other connections have requests. Drain returns at the given end, or when ctx
-// ends, at the latest. It reports whether no request is left.
-func (d *Drainer) Drain(ctx context.Context, listenerClosedAt, end time.Time) bool {
+// Drain closes the listeners once they have accepted what waits there, and the connections that are
+// unused or become so, and waits until none is left. A connection that has had no request yet may
+// send one until newConnectionWait after the first call, and later while other connections have
+// requests. Drain returns at the given end, or when ctx ends, at the latest. It reports whether no
+// request is left.
+func (d *Drainer) Drain(ctx context.Context, end time.Time) bool {
+	began := d.begin()
 	for {
 		now := time.Now()
-		active, fresh := d.closeUnused(false)
-		if active == 0 && (fresh == 0 || now.Sub(listenerClosedAt) > newConnectionWait) {
-			active, fresh = d.closeUnused(true)
+		busy, fresh := d.closeUnused(false)
+		if busy == 0 && (fresh == 0 || now.Sub(began) > newConnectionWait) {
+			busy, fresh = d.closeUnused(true)
 		}
-		if active == 0 && fresh == 0 {
+		if busy == 0 && fresh == 0 {
 			return true
 		}
 		if !now.Before(end) || ctx.Err() != nil {
-			return active == 0
+			return busy == 0
 		}
 		select {
 		case <-time.After(pollInterval):
@@ -133,22 +117,34 @@
 	}
 }
 
-// closeUnused asks the connections to close that have had a request and have none now, and those
-// that have had none yet if withFresh is set. It returns the numbers of connections that have a
-// request or are still closing, and of those that have had no request yet and may stay.
-func (d *Drainer) closeUnused(withFresh bool) (active, fresh int) {
+// begin returns when Drain was first called.
+func (d *Drainer) begin() time.Time {
 	d.mu.Lock()
-	open := make([]*connection, 0, len(d.connections))
-	for c := range d.connections {
-		open = append(open, c)
+	defer d.mu.Unlock()
+	if d.drainedSince.IsZero() {
+		d.drainedSince = time.Now()
 	}
+	return d.drainedSince
+}
+
+// closeUnused asks the listeners to close, and the connections that have had a request and have none
+// now; those that have had none yet too if withFresh is set. It returns the number of connections
+// that have a request and of connections and listeners that are still closing, and the number of
+// connections that have had no request yet and may stay.
+func (d *Drainer) closeUnused(withFresh bool) (busy, fresh int) {
+	d.mu.Lock()
+	listeners := slices.Collect(maps.Keys(d.listeners))
+	connections := slices.Collect(maps.Keys(d.connections))
 	d.mu.Unlock()
-	for _, c := range open {
-		if c.closeIfUnused(withFresh) {
-			active++
+	for _, l := range listeners {
+		l.askToClose()
+	}
+	for _, c := range connections {
+		if c.askToClose(withFresh) {
+			busy++
 		} else {
 			fresh++
 		}
 	}
-	return active, fresh
+	return busy + len(listeners), fresh
 }
--- a/internal/drainer/drainer_test.go
+++ b/internal/drainer/drainer_test.go
@@ -3,10 +3,12 @@
 import (
 	"bufio"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"runtime"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -21,6 +23,13 @@
 // maxWait bounds the waits of a test.
 const maxWait = 10 * time.Second
 
+const (
+	// newConnectionWait is how long a drain leaves connections that have had no request, and
+	// askingTime within which it has then asked them to close.
+	newConnectionWait = time.Second
+	askingTime        = 100 * time.Millisecond
+)
+
 const request = "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\n\r\nx"
 
 // hookedConn calls functions around the server's reads.
@@ -50,16 +59,24 @@
 
 // hookedListener makes hooked connections.
 type hookedListener struct {
-	net.Listener
+	*net.TCPListener
 	beforeRead func()
 	afterRead  func(read int)
+	// afterAccept is called before the server has an accepted connection.
+	afterAccept func()
+	// plain is set if the connections are not hooked.
+	plain bool
 }
 
 func (l *hookedListener) Accept() (net.Conn, error) {
-	connection, err := l.Listener.Accept()
+	connection, err := l.TCPListener.Accept()
 	if err != nil {
 		return nil, err
 	}
+	l.afterAccept()
+	if l.plain {
+		return connection, nil
+	}
 	return &hookedSocket{hookedConn{Conn: connection, beforeRead: l.beforeRead, afterRead: l.afterRead}, connection.(syscall.Conn)}, nil
 }
 
@@ -82,7 +99,7 @@
 		t.Fatalf("Listen() got error %v, want nil", err)
 	}
 	s := &testServer{t: t, drainer: drainer.New(), idle: make(chan struct{}, 9),
-		listener: &hookedListener{inner, func() {}, func(int) {}}}
+		listener: &hookedListener{TCPListener: inner.(*net.TCPListener), beforeRead: func() {}, afterRead: func(int) {}, afterAccept: func() {}}}
 	s.server = &http.Server{Handler: http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
 		_, _ = io.Copy(io.Discard, r.Body)
 		s.served.Add(1)
@@ -123,13 +140,17 @@
 
 // drain drains for a time in which everything that can be closed is.
 func (s *testServer) drain() bool {
-	now := time.Now()
-	return s.drainer.Drain(s.t.Context(), now.Add(-time.Minute), now.Add(maxWait))
+	return s.drainer.Drain(s.t.Context(), time.Now().Add(maxWait))
 }
 
 // exchange sends a request and reads its response.
-func exchange(client io.ReadWriter, reader *bufio.Reader) error {
-	if _, err := io.Copy(client, strings.NewReader(request)); err != nil {
+func exchange(client io.Writer, reader *bufio.Reader) error {
+	return finishExchange(client, reader, request)
+}
+
+// finishExchange sends the rest of a request and reads its response.
+func finishExchange(client io.Writer, reader *bufio.Reader, rest string) error {
+	if _, err := io.WriteString(client, rest); err != nil {
 		return err
 	}
 	response, err := http.ReadResponse(reader, nil)
@@ -137,6 +158,9 @@
 		return err
 	}
 	defer func() { _ = response.Body.Close() }()
+	if response.StatusCode != http.StatusOK {
+		return fmt.Errorf("status %d", response.StatusCode)
+	}
 	_, err = io.Copy(io.Discard, response.Body)
 	return err
 }
@@ -144,7 +168,12 @@
 // TestRequestThatWaitsInSocketIsServed guards against a request that is lost because it waits,
 // unread, in a connection that counts as unused when a server drains.
 func TestRequestThatWaitsInSocketIsServed(t *testing.T) {
-	rows := map[string]struct{ earlier int64 }{"kept connection": {1}, "new connection": {0}}
+	rows := map[string]struct {
+		// earlier is the number of requests before, asked how long after the drain began the
+		// connection is asked to close.
+		earlier int64
+		asked   time.Duration
+	}{"kept connection": {1, 0}, "new connection": {0, newConnectionWait}}
 	for name, row := range rows {
 		t.Run(name, func(t *testing.T) {
 			s := newTestServer(t)
@@ -168,7 +197,7 @@
 				t.Fatalf("write got error %v, want nil", err)
 			}
 			<-waiting
-			time.AfterFunc(100*time.Millisecond, func() { close(held) })
+			time.AfterFunc(row.asked+askingTime, func() { close(held) })
 			drained := make(chan bool, 1)
 			go func() { drained <- s.drain() }()
 			response, err := http.ReadResponse(reader, nil)
@@ -196,15 +225,19 @@
 // without a response: the server drains just when it has read the request and has not begun to
 // serve it.
 func TestRequestThatHasBeenReadIsServed(t *testing.T) {
-	for name, drainAt := range map[string]int{"first request": 1, "second request": 2} {
+	rows := map[string]struct {
+		drainAt int
+		asked   time.Duration
+	}{"first request": {1, newConnectionWait}, "second request": {2, 0}}
+	for name, row := range rows {
 		t.Run(name, func(t *testing.T) {
+			drainAt := row.drainAt
 			s := newTestServer(t)
 			drained := make(chan bool, 1)
 			s.listener.afterRead = func(read int) {
 				if read == drainAt {
 					go func() { drained <- s.drain() }()
-					// Drain has asked the connections to close when it first waits.
-					time.Sleep(50 * time.Millisecond)
+					time.Sleep(row.asked + askingTime)
 				}
 			}
 			client := s.start()
@@ -221,6 +254,9 @@
 			if got := s.served.Load(); got != int64(drainAt) {
 				t.Errorf("served requests got %d, want %d", got, drainAt)
 			}
+			if got := s.drainer.Counts().Found; got != 1 {
+				t.Errorf("found requests got %d, want 1", got)
+			}
 		})
 	}
 }
@@ -229,9 +265,15 @@
 // connection has been closed, so that it is cut without a response.
 func TestRequestOfClosedConnectionDoesNotRun(t *testing.T) {
 	s := newTestServer(t)
-	s.listener.afterRead = func(read int) {
-		if read == 2 {
-			_ = s.server.Close()
+	setState := s.server.ConnState
+	requests := 0
+	s.server.ConnState = func(connection net.Conn, state http.ConnState) {
+		setState(connection, state)
+		if state != http.StateActive {
+			return
+		}
+		if requests++; requests == 2 {
+			_ = connection.Close()
 		}
 	}
 	client := s.start()
@@ -248,6 +290,207 @@
 	}
 }
 
+// TestHeadInPieces guards against a request that is lost because only a part of its head has come
+// when the connection is asked to close.
+func TestHeadInPieces(t *testing.T) {
+	const firstPiece = 20
+	rows := map[string]struct {
+		earlier int
+		asked   time.Duration
+		// during is set if the drain begins before the server has what it has read.
+		during bool
+	}{
+		"kept connection, after the first piece": {1, 0, false},
+		"kept connection, during its read":       {1, 0, true},
+		"new connection, after the first piece":  {0, newConnectionWait, false},
+		"new connection, during its read":        {0, newConnectionWait, true},
+	}
+	for name, row := range rows {
+		t.Run(name, func(t *testing.T) {
+			s := newTestServer(t)
+			drained := make(chan bool, 1)
+			pieceRead := make(chan struct{})
+			s.listener.afterRead = func(read int) {
+				if read != row.earlier+1 {
+					return
+				}
+				if row.during {
+					go func() { drained <- s.drain() }()
+					time.Sleep(row.asked + askingTime)
+				}
+				close(pieceRead)
+			}
+			client := s.start()
+			reader := bufio.NewReader(client)
+			if row.earlier > 0 {
+				if err := exchange(client, reader); err != nil {
+					t.Fatalf("first exchange got error %v, want nil", err)
+				}
+				<-s.idle
+			}
+			if _, err := io.WriteString(client, request[:firstPiece]); err != nil {
+				t.Fatalf("write got error %v, want nil", err)
+			}
+			<-pieceRead
+			if !row.during {
+				time.Sleep(askingTime)
+				go func() { drained <- s.drain() }()
+			}
+			time.Sleep(row.asked + askingTime)
+			if err := finishExchange(client, reader, request[firstPiece:]); err != nil {
+				t.Errorf("exchange got error %v, want nil", err)
+			}
+			if !<-drained {
+				t.Error("Drain() got false, want true")
+			}
+		})
+	}
+}
+
+// TestHeadTimeoutDuringDrain guards against a stop that waits for the rest of a head longer than the
+// server does.
+func TestHeadTimeoutDuringDrain(t *testing.T) {
+	s := newTestServer(t)
+	s.server.ReadHeaderTimeout = newConnectionWait + 4*askingTime
+	drained := make(chan time.Duration, 1)
+	s.listener.afterRead = func(read int) {
+		if read == 1 {
+			began := time.Now()
+			go func() {
+				s.drain()
+				drained <- time.Since(began)
+			}()
+			time.Sleep(newConnectionWait + askingTime)
+		}
+	}
+	client := s.start()
+	if _, err := io.WriteString(client, request[:20]); err != nil {
+		t.Fatalf("write got error %v, want nil", err)
+	}
+	if took, want := <-drained, 3*newConnectionWait; took > want {
+		t.Errorf("Drain() took %v, want at most %v", took, want)
+	}
+}
+
+// TestEndOfRefusedBody guards against a client that does not see the end of the response to a body
+// that the server does not read.
+func TestEndOfRefusedBody(t *testing.T) {
+	s := newTestServer(t)
+	s.server.Handler = http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusRequestEntityTooLarge) })
+	s.listener.plain = true
+	client := s.start()
+	go func() {
+		_, _ = io.WriteString(client, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 9000000\r\n\r\n")
+		_, _ = client.Write(make([]byte, 1<<20))
+	}()
+	began := time.Now()
+	reader := bufio.NewReader(client)
+	response, err := http.ReadResponse(reader, nil)
+	if err != nil {
+		t.Fatalf("response got error %v, want one", err)
+	}
+	_ = response.Body.Close()
+	_, _ = reader.ReadByte()
+	if took, want := time.Since(began), 300*time.Millisecond; took > want {
+		t.Errorf("end of the response got after %v, want %v at most", took, want)
+	}
+}
+
+// TestAcceptQueueOfStarvedServer guards against requests that are lost because their connections
+// wait to be accepted by a server without processor time when it begins to drain.
+func TestAcceptQueueOfStarvedServer(t *testing.T) {
+	const (
+		clients  = 5
+		spinners = 150
+		spinTime = 2 * time.Millisecond
+		// starvedFor is less than the time that all spinners have together.
+		starvedFor = 150 * time.Millisecond
+	)
+	defer runtime.GOMAXPROCS(runtime.GOMAXPROCS(1))
+	s := newTestServer(t)
+	s.listener.plain = true
+	s.start()
+	var spinning sync.WaitGroup
+	var stopped atomic.Bool
+	for range spinners {
+		spinning.Go(func() {
+			for !stopped.Load() {
+				for began := time.Now(); time.Since(began) < spinTime; {
+					runtime.KeepAlive(began)
+				}
+				runtime.Gosched()
+			}
+		})
+	}
+	time.Sleep(4 * spinners * spinTime)
+	sockets := make([]int, clients)
+	for i := range sockets {
+		sockets[i] = sendOnSocket(t, s.listener.Addr())
+	}
+	time.Sleep(starvedFor)
+	if !s.drain() {
+		t.Error("Drain() got false, want true")
+	}
+	stopped.Store(true)
+	spinning.Wait()
+	lost := 0
+	for _, socket := range sockets {
+		if n, _ := syscall.Read(socket, make([]byte, 1)); n <= 0 {
+			lost++
+		}
+		_ = syscall.Close(socket)
+	}
+	if lost > 0 {
+		t.Errorf("requests without a response got %d, want 0", lost)
+	}
+}
+
+// sendOnSocket sends a request on a socket that the runtime does not know, so that it is sent at
+// once, and returns the socket.
+func sendOnSocket(t *testing.T, address net.Addr) int {
+	t.Helper()
+	socket, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM, 0)
+	if err != nil {
+		t.Fatalf("Socket() got error %v, want nil", err)
+	}
+	to := &syscall.SockaddrInet4{Port: address.(*net.TCPAddr).Port, Addr: [4]byte{127, 0, 0, 1}}
+	if err := syscall.Connect(socket, to); err != nil {
+		t.Fatalf("Connect() got error %v, want nil", err)
+	}
+	if _, err := syscall.Write(socket, []byte(request)); err != nil {
+		t.Fatalf("Write() got error %v, want nil", err)
+	}
+	timeout := syscall.NsecToTimeval(int64(maxWait))
+	if err := syscall.SetsockoptTimeval(socket, syscall.SOL_SOCKET, syscall.SO_RCVTIMEO, &timeout); err != nil {
+		t.Fatalf("SetsockoptTimeval() got error %v, want nil", err)
+	}
+	return socket
+}
+
+// TestConnectionAcceptedLate guards against a connection that is lost because the goroutine that
+// accepts has it and has not yet reported it when the server begins to drain.
+func TestConnectionAcceptedLate(t *testing.T) {
+	s := newTestServer(t)
+	accepted := make(chan struct{}, 1)
+	s.listener.afterAccept = func() {
+		accepted <- struct{}{}
+		time.Sleep(2 * askingTime)
+	}
+	client := s.start()
+	<-accepted
+	drained := make(chan bool, 1)
+	go func() {
+		drained <- s.drain()
+		_ = s.server.Close()
+	}()
+	if err := exchange(client, bufio.NewReader(client)); err != nil {
+		t.Errorf("exchange got error %v, want nil", err)
+	}
+	if !<-drained {
+		t.Error("Drain() got false, want true")
+	}
+}
+
 // TestUnusedConnectionsClose guards against a stop that waits for connections on which nothing is
 // sent.
 func TestUnusedConnectionsClose(t *testing.T) {
@@ -335,7 +578,7 @@
 		}()
 		time.Sleep(time.Second)
 		drained := make(chan bool, 1)
-		go func() { drained <- d.Drain(t.Context(), time.Now(), time.Now().Add(time.Minute)) }()
+		go func() { drained <- d.Drain(t.Context(), time.Now().Add(time.Minute)) }()
 		response, err := http.ReadResponse(reader, nil)
 		if err != nil {
 			t.Fatalf("response got error %v, want one", err)
--- a/internal/runner/stop.go
+++ b/internal/runner/stop.go
@@ -70,21 +70,18 @@
 	announced.Go(func() { r.peers.prober.AnnounceLeaving(ctx) })
 	defer announced.Wait()
 	sleepUntil(ctx, times.unlistedAt)
-	late := time.Since(times.unlistedAt)
-	_ = r.listeners.clients.Close()
-	defer r.logConnections(late)
-	if !r.drainer.Drain(ctx, times.unlistedAt, times.requestsEndAt) {
+	defer r.logConnections()
+	if !r.drainer.Drain(ctx, times.requestsEndAt) {
 		r.logger.Warn("requests still running at the end of the stop grace")
 		r.endRequests(forwarder.ErrStopping)
-		r.drainer.Drain(ctx, times.unlistedAt, times.closedAt)
+		r.drainer.Drain(ctx, times.closedAt)
 	}
 }
 
-// logConnections logs what became of the connections in a planned stop. late is how much later
-// than planned the daemon began to close them, because it did not get the processor before.
-func (r *Runner) logConnections(late time.Duration) {
+// logConnections logs what became of the unused connections in a planned stop.
+func (r *Runner) logConnections() {
 	counts := r.drainer.Counts()
-	r.logger.Info("unused connections closed", "closed", counts.Closed, "found", counts.Found, "late", late)
+	r.logger.Info("unused connections closed", "closed", counts.Closed, "found", counts.Found, "delay", r.delay.delay())
 }
 
 // sleepUntil sleeps until the time or the end of ctx.
--- a/internal/server/stop.go
+++ b/internal/server/stop.go
@@ -31,9 +31,7 @@
 	s.gateway.DisableKeepAlives()
 	s.prober.AnnounceLeaving(ctx)
 	sleep(ctx, unreadyDelay)
-	_ = s.listeners.clients.Close()
-	now := time.Now()
-	if !s.drainer.Drain(ctx, now, now.Add(s.config.DrainTimeout)) {
+	if !s.drainer.Drain(ctx, time.Now().Add(s.config.DrainTimeout)) {
 		s.logger.Warn("drain timeout exceeded; aborting the remaining requests", "active", s.gateway.ActiveRequests())
 	}
 	handoverCtx, cancel := context.WithTimeout(ctx, handoverTimeout)
