Do not wait in the first read from the zone reader after an outage

Cause: an outage of the log ends for a daemon with the first read that succeeds, and the grace of endpoints whose registrations are missing counts from there. A read of the log after a failure does not wait, so that it ends the outage at once. A read from the zone reader did wait, for up to 1.9 s, so a follower took the outage for that much longer and sent requests to endpoints that were gone. In a traced run of TestOutageInGracePeriod the log was back at 23.0 s, two daemons had read the endpoints' topic again at 23.15 s, and the third at 25.52 s: a pause after a failed read, then the whole wait. It kept the endpoint until 27.57 s; the test wants it gone at 27.0 s. Class: the time of an event is taken from a response that was held back.

Change: subscriber.Peer.Read takes the wait, as Source.Read does, and the subscriber waits for 0 s while its reads fail. The bound of a call to the zone reader stays 2.15 s.

Tests: the fakes of subscriber.Peer take the wait; topicPeer waits for it in place of 1.9 s.

--- a/internal/relayer/client.go
+++ b/internal/relayer/client.go
@@ -14,10 +14,10 @@
 )
 
 // Read implements subscriber.Peer.
-func (r *Relayer) Read(ctx context.Context, topic string, from subscriber.Position) (subscriber.Page, time.Duration, error) {
-	message, err := callReader(ctx, r, readWait+responseSlack, func(ctx context.Context, reader *readerClients) (*schema.RelayResponse, error) {
+func (r *Relayer) Read(ctx context.Context, topic string, from subscriber.Position, wait time.Duration) (subscriber.Page, time.Duration, error) {
+	message, err := callReader(ctx, r, readTimeout, func(ctx context.Context, reader *readerClients) (*schema.RelayResponse, error) {
 		response, err := reader.relay.Read(ctx, connect.NewRequest(&schema.RelayRequest{
-			Zone: r.Zone, Reader: reader.Name, Topic: topic, From: from.Offset, Epoch: uint64(from.Epoch), Wait: durationpb.New(readWait),
+			Zone: r.Zone, Reader: reader.Name, Topic: topic, From: from.Offset, Epoch: uint64(from.Epoch), Wait: durationpb.New(wait),
 		}))
 		if err != nil {
 			return nil, err
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -28,11 +28,9 @@
 )
 
 const (
-	// readWait is how long the zone reader may hold a read, responseSlack how much
-	// longer its response may take. Together they stay well under the age at which a
-	// verified read is too old.
-	readWait      = 1900 * time.Millisecond
-	responseSlack = 250 * time.Millisecond
+	// readTimeout bounds a read from the zone reader, which may hold it. It stays well under
+	// the age at which a verified read is too old.
+	readTimeout = subscriber.MaxPeerWait + 250*time.Millisecond
 	// maxWait bounds the wait that a client may ask for.
 	maxWait = 5 * time.Second
 	// startJitter spreads the claims of daemons that start at the same time and find no
--- a/internal/subscriber/outage_test.go
+++ b/internal/subscriber/outage_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -79,3 +80,55 @@
 		})
 	}
 }
+
+// countingPeer counts the reads from a peer that can be reached.
+type countingPeer struct {
+	topicPeer
+	reads *atomic.Int64
+}
+
+func (p countingPeer) Read(ctx context.Context, topic string, from subscriber.Position, wait time.Duration) (subscriber.Page, time.Duration, error) {
+	if !p.away.Load() {
+		p.reads.Add(1)
+	}
+	return p.topicPeer.Read(ctx, topic, from, wait)
+}
+
+// TestOutageEndsWithFirstRead guards against an outage of the log that lasts for a daemon until the
+// first read after it has waited to the full: endpoints that are gone would get requests meanwhile.
+func TestOutageEndsWithFirstRead(t *testing.T) {
+	const (
+		outageEnd = 12 * time.Second
+		elapsed   = 5 * time.Second
+		// maxPause is the longest pause between reads that fail.
+		maxPause = 600 * time.Millisecond
+		// maxReads is the number of reads that wait in the elapsed time, and two more.
+		maxReads = 4
+	)
+	rows := map[string]struct {
+		// logEnd and peerFrom are when the log and the peer can be read.
+		logEnd, peerFrom time.Duration
+	}{
+		"read of the log":    {outageEnd, time.Minute},
+		"read from the peer": {time.Minute, outageEnd},
+	}
+	for name, row := range rows {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				timing := subscriber.ReadTiming{Wait: 10 * time.Second}
+				reader := startTopicWithTiming(t, &outageSource{start: time.Now(), until: outageEnd - time.Second}, nil, timing)
+				peer := countingPeer{topicPeer{other: reader, away: &atomic.Bool{}}, &atomic.Int64{}}
+				peer.away.Store(true)
+				follower := startTopicWithTiming(t, &outageSource{start: time.Now(), until: row.logEnd}, peer, timing)
+				time.AfterFunc(row.peerFrom, func() { peer.away.Store(false) })
+				time.Sleep(outageEnd + elapsed)
+				if got, ok := follower.SinceOutage(); !ok || got < elapsed-maxPause {
+					t.Errorf("SinceOutage() got %v, %t, want at least %v", got, ok, elapsed-maxPause)
+				}
+				if got := peer.reads.Load(); got > maxReads {
+					t.Errorf("reads from the peer got %d, want at most %d", got, maxReads)
+				}
+			})
+		})
+	}
+}
--- a/internal/subscriber/restore_test.go
+++ b/internal/subscriber/restore_test.go
@@ -262,12 +262,12 @@
 	away *atomic.Bool
 }
 
-func (p topicPeer) Read(ctx context.Context, _ string, from subscriber.Position) (subscriber.Page, time.Duration, error) {
+func (p topicPeer) Read(ctx context.Context, _ string, from subscriber.Position, wait time.Duration) (subscriber.Page, time.Duration, error) {
 	if p.away != nil && p.away.Load() {
 		return subscriber.Page{}, 0, subscriber.ErrNoPeer
 	}
 	startedAt := time.Now()
-	page, age, err := p.other.RecordsFrom(ctx, from, 1900*time.Millisecond)
+	page, age, err := p.other.RecordsFrom(ctx, from, wait)
 	return page, age - time.Since(startedAt), err
 }
 
@@ -711,7 +711,7 @@
 // slowPeer fails each read after a while.
 type slowPeer struct{ topicPeer }
 
-func (slowPeer) Read(context.Context, string, subscriber.Position) (subscriber.Page, time.Duration, error) {
+func (slowPeer) Read(context.Context, string, subscriber.Position, time.Duration) (subscriber.Page, time.Duration, error) {
 	const readTime = 2150 * time.Millisecond
 	time.Sleep(readTime)
 	return subscriber.Page{}, 0, errors.New("timeout")
@@ -743,11 +743,11 @@
 	frozen *atomic.Bool
 }
 
-func (p frozenPeer) Read(ctx context.Context, topic string, from subscriber.Position) (subscriber.Page, time.Duration, error) {
+func (p frozenPeer) Read(ctx context.Context, topic string, from subscriber.Position, wait time.Duration) (subscriber.Page, time.Duration, error) {
 	for p.frozen.Load() {
 		time.Sleep(10 * time.Millisecond)
 	}
-	return p.topicPeer.Read(ctx, topic, from)
+	return p.topicPeer.Read(ctx, topic, from, wait)
 }
 
 // TestDeletionReadByReaderFirst guards against a key that stays in force at a follower although it
@@ -885,7 +885,7 @@
 	isShown  bool
 }
 
-func (*snapshotPeer) Read(context.Context, string, subscriber.Position) (subscriber.Page, time.Duration, error) {
+func (*snapshotPeer) Read(context.Context, string, subscriber.Position, time.Duration) (subscriber.Page, time.Duration, error) {
 	return subscriber.Page{}, 0, subscriber.ErrNoPeer
 }
 
--- a/internal/subscriber/subscriber.go
+++ b/internal/subscriber/subscriber.go
@@ -292,7 +292,12 @@
 		return false
 	}
 	sentAt := s.clock()
-	page, lag, err := s.peer.Read(ctx, s.name, s.Next())
+	wait := MaxPeerWait
+	if s.isFailing() {
+		// As for a read of the log: the failure would last until the wait is over.
+		wait = 0
+	}
+	page, lag, err := s.peer.Read(ctx, s.name, s.Next(), wait)
 	if err == nil {
 		err = s.checkEpoch(page.Epoch)
 	}
--- a/internal/subscriber/topic.go
+++ b/internal/subscriber/topic.go
@@ -66,12 +66,17 @@
 	Newest(ctx context.Context, topic string) (snapshot Snapshot, lag time.Duration, err error)
 	// Read returns the records from a position on, and how long before this call
 	// the peer's last verified read was sent. The lag is negative if that read was
-	// sent after the call. The end of the page is the offset after the last record that
+	// sent after the call. If there are no records, it waits for some, or for a newer
+	// verified read, for at most the given time, up to MaxPeerWait. The end of the page is the offset after the last record that
 	// the peer has read. It returns ErrExpired if the peer no longer has the records, and
 	// ErrUnread if it does not follow the topic now.
-	Read(ctx context.Context, topic string, from Position) (page Page, lag time.Duration, err error)
+	Read(ctx context.Context, topic string, from Position, wait time.Duration) (page Page, lag time.Duration, err error)
 }
 
+// MaxPeerWait is the longest wait of a read from a peer. It stays well under the age at which a
+// verified read is too old.
+const MaxPeerWait = 1900 * time.Millisecond
+
 // ErrNoPeer is returned by a Peer when there is no daemon to read from.
 var ErrNoPeer = errors.New("no peer to read the topic from")
 
--- a/internal/subscriber/window_test.go
+++ b/internal/subscriber/window_test.go
@@ -16,7 +16,7 @@
 // peerFunc is a peer whose reads are served by a function.
 type peerFunc func(ctx context.Context, from int64) (subscriber.Page, time.Duration, error)
 
-func (p peerFunc) Read(ctx context.Context, _ string, from subscriber.Position) (subscriber.Page, time.Duration, error) {
+func (p peerFunc) Read(ctx context.Context, _ string, from subscriber.Position, _ time.Duration) (subscriber.Page, time.Duration, error) {
 	return p(ctx, from.Offset)
 }
 
