Let the pass-through of the benchmark read a request while it responds

Class: two sides of one exchange end in an order that nothing promises. The fault is the benchmark's own proxy; no product code uses a reverse proxy.

Change: the proxy's handler enables full duplex, so that the body stays open until the handler returns.

--- a/internal/benchmarker/path_test.go
+++ b/internal/benchmarker/path_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
 	"net/http/httputil"
 	"net/netip"
 	"net/url"
+	"strings"
 	"testing"
 	"time"
 
@@ -80,16 +82,35 @@
 	f.benchmarkChat(b, f.engineAddr(), model)
 }
 
-func BenchmarkPassThrough(b *testing.B) {
-	f := newBench(b)
-	proxy := httputil.NewSingleHostReverseProxy(&url.URL{Scheme: "http", Host: f.engineAddr().String()})
+// servePassThrough serves a plain reverse proxy to an address.
+func servePassThrough(tb testing.TB, to netip.AddrPort, transport http.RoundTripper) *faker.Server {
+	tb.Helper()
+	proxy := httputil.NewSingleHostReverseProxy(&url.URL{Scheme: "http", Host: to.String()})
 	proxy.FlushInterval = -1
-	proxy.Transport = connector.NewTransport(connector.TCP{})
-	server, err := faker.Serve(connector.TCP{}, netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), 0), proxy)
+	proxy.Transport = transport
+	server, err := faker.Serve(connector.TCP{}, netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), 0), readWhileWriting(proxy))
 	if err != nil {
-		b.Fatalf("Serve() got error %v, want nil", err)
+		tb.Fatalf("Serve() got error %v, want nil", err)
 	}
-	b.Cleanup(server.Close)
+	tb.Cleanup(server.Close)
+	return server
+}
+
+// readWhileWriting lets a handler read the body of its request after its response has begun. A
+// proxy's transport may still look for the body's end then, and closes the connection if that fails.
+func readWhileWriting(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if err := http.NewResponseController(w).EnableFullDuplex(); err != nil {
+			http.Error(w, err.Error(), http.StatusInternalServerError)
+			return
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+func BenchmarkPassThrough(b *testing.B) {
+	f := newBench(b)
+	server := servePassThrough(b, f.engineAddr(), connector.NewTransport(connector.TCP{}))
 	f.benchmarkChat(b, server.Addr, model)
 }
 
@@ -97,3 +118,27 @@
 	f := newBench(b)
 	f.benchmarkChat(b, f.fleet.Daemons()[0].Server.Addresses().Clients, model)
 }
+
+// earlyTransport responds before it has read the request's body, which becomes the response's.
+type earlyTransport struct{}
+
+func (earlyTransport) RoundTrip(request *http.Request) (*http.Response, error) {
+	response := &http.Response{StatusCode: http.StatusOK, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1, Header: http.Header{}, Body: request.Body}
+	response.ContentLength = -1
+	return response, nil
+}
+
+// TestPassThroughOfEarlyResponse guards against responses that the pass-through truncates because
+// they begin before its transport is done with the request, as those of an idle engine do.
+func TestPassThroughOfEarlyResponse(t *testing.T) {
+	server := servePassThrough(t, netip.AddrPort{}, earlyTransport{})
+	const want = "When is my turn?"
+	response, err := http.Post("http://"+server.Addr.String(), "text/plain", strings.NewReader(want))
+	if err != nil {
+		t.Fatalf("Post() got error %v, want nil", err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	if got, err := io.ReadAll(response.Body); err != nil || string(got) != want {
+		t.Errorf("response got %q, error %v, want %q", got, err, want)
+	}
+}
