Read the log again before followers give up their zone reader

Cause: when the zone reader's reads of the log fail, it answers its followers only after 0.4 s (failingGrace), so that a short failure does not make all of them look for another reader. But the reader's own pauses double at random: 25 to 50, 50 to 100, 100 to 200 and 200 to 400 ms. If the third retry still falls into the failure, the fourth comes 375 ms after the first failed read or later, so the followers give up although the log is back. Class: two timers that depend on each other are set independently. In the row "reads fail for a short time" of TestCallsOfLargeZone (200 ms) all 50 daemons then looked up the zone reader: 91 calls, 40 allowed.

Change: the pause that would outlast it ends 0.3 s after reads began to fail, so that one read is made then. It costs at most one read more in an outage.

--- a/internal/subscriber/freshness.go
+++ b/internal/subscriber/freshness.go
@@ -47,6 +47,13 @@
 	return s.failing
 }
 
+// sinceFailure returns the time since reads began to fail. It is called only while they fail.
+func (s *Subscriber) sinceFailure() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.clock() - s.failedAt
+}
+
 // recordResult records the result of a read. It logs when reads begin to fail
 // and when they succeed again.
 func (s *Subscriber) recordResult(err error) {
@@ -66,6 +73,7 @@
 	}
 	s.failing = failing
 	if failing {
+		s.failedAt = s.clock()
 		s.window.markFailing(isSilence(err))
 		s.logger.Warn("cannot read topic from the log", "topic", s.name, "error", err, "proof_age", noter.FormatDuration(s.clock()-s.verifiedAt))
 		return true
--- a/internal/subscriber/outage_test.go
+++ b/internal/subscriber/outage_test.go
@@ -132,3 +132,55 @@
 		})
 	}
 }
+
+// TestFollowersOutlastShortFailure guards against followers that all give up their zone reader and
+// look for another one, because it reads the log again only some time after a short failure.
+func TestFollowersOutlastShortFailure(t *testing.T) {
+	const (
+		failsFrom = time.Second
+		// runs is the number of runs of each row, because the pauses are random.
+		runs = 40
+	)
+	rows := map[string]struct {
+		length time.Duration
+		// both is set if the topic follows the outages of another one, which fails as long.
+		both bool
+	}{
+		"100 ms":             {100 * time.Millisecond, false},
+		"200 ms":             {200 * time.Millisecond, false},
+		"300 ms":             {300 * time.Millisecond, false},
+		"200 ms, two topics": {200 * time.Millisecond, true},
+		"300 ms, two topics": {300 * time.Millisecond, true},
+	}
+	for name, row := range rows {
+		t.Run(name, func(t *testing.T) {
+			failed := 0
+			for range runs {
+				synctest.Test(t, func(t *testing.T) {
+					newTopic := func() *subscriber.Subscriber {
+						start := time.Now()
+						source := &outageSource{start: start, from: failsFrom, until: failsFrom + row.length}
+						return subscriber.New("t", source, subscriber.ReadTiming{Wait: 100 * time.Millisecond}, func() time.Duration { return time.Since(start) },
+							func(subscriber.Change) {}, hclog.NewNullLogger())
+					}
+					topic, other := newTopic(), newTopic()
+					if row.both {
+						topic.FollowOutages(other)
+					}
+					ctx, cancel := context.WithCancel(t.Context())
+					go func() { _ = other.Run(ctx) }()
+					go func() { _ = topic.Run(ctx) }()
+					time.Sleep(failsFrom + 10*time.Millisecond)
+					if _, _, err := topic.RecordsFrom(ctx, topic.Next(), subscriber.MaxPeerWait); err != nil {
+						failed++
+					}
+					cancel()
+					synctest.Wait()
+				})
+			}
+			if failed > 0 {
+				t.Errorf("reads from the reader that failed got %d of %d, want none", failed, runs)
+			}
+		})
+	}
+}
--- a/internal/subscriber/subscriber.go
+++ b/internal/subscriber/subscriber.go
@@ -86,7 +86,9 @@
 	verified   bool
 	// failing is set while the latest read has failed.
 	failing bool
-	reads   uint64
+	// failedAt is when reads began to fail. It is valid if failing is set.
+	failedAt time.Duration
+	reads    uint64
 	// recoveredAt is the time of the first read that succeeded after the last failed
 	// one. It is valid if hasRecovered is set.
 	recoveredAt  time.Duration
@@ -212,13 +214,23 @@
 			}
 			continue
 		}
-		sleep(ctx, time.Duration((0.5+rand.Float64()/2)*float64(backoff)))
+		sleep(ctx, s.failurePause(backoff))
 		s.awaitRecovery(ctx)
 		backoff = min(2*backoff, maxBackoff)
 	}
 	return ctx.Err()
 }
 
+// failurePause returns the pause after a failed read: a random part of the backoff, but so that a
+// read is made graceRead after reads began to fail.
+func (s *Subscriber) failurePause(backoff time.Duration) time.Duration {
+	pause := time.Duration((0.5 + rand.Float64()/2) * float64(backoff))
+	if untilRead := graceRead - s.sinceFailure(); untilRead > 0 {
+		pause = min(pause, untilRead)
+	}
+	return pause
+}
+
 // awaitRecovery waits while reads of the followed topic fail, for maxFollowedPause at most: they
 // may fail for a reason of their own.
 func (s *Subscriber) awaitRecovery(ctx context.Context) {
--- a/internal/subscriber/window.go
+++ b/internal/subscriber/window.go
@@ -29,6 +29,9 @@
 	// again, so that a short failure does not make all daemons read the log. Reads that get
 	// no response have taken long already.
 	failingGrace = 400 * time.Millisecond
+	// graceRead is the time after which the log is read again within failingGrace. The difference
+	// is for that read and for topics that follow the outages of another one.
+	graceRead = failingGrace - 2*recoveryInterval
 	// maxPeerPageBytes bounds the record values of one page for another daemon, unless
 	// a single record is larger. Many daemons may ask at once, and the network bandwidth
 	// of an instance is low.
