--- a/internal/runner/evacuations_test.go
+++ b/internal/runner/evacuations_test.go
@@ -8,6 +8,37 @@
 	"quetzalgrade.example/quetzalgrade/internal/subscriber"
 )
 
+// evacuationRow is a test of changes, one after the other, and of the zones that are evacuated then.
+type evacuationRow struct {
+	changes []evacuationChange
+	want    map[string]int64
+}
+
+// testEvacuations runs the tests by their names.
+func testEvacuations(t *testing.T, rows map[string]evacuationRow) {
+	t.Helper()
+	for name, row := range rows {
+		t.Run(name, func(t *testing.T) {
+			state := newEvacuations()
+			for _, change := range row.changes {
+				state.apply(change)
+			}
+			if !maps.Equal(state.zones, row.want) {
+				t.Errorf("evacuated zones got %v, want %v", state.zones, row.want)
+			}
+		})
+	}
+}
+
+// evacuate and withdraw return records of the operators' topic.
+func evacuate(zone string, offset int64) evacuationRecord {
+	return evacuationRecord{zone, true, offset}
+}
+
+func withdraw(zone string, offset int64) evacuationRecord {
+	return evacuationRecord{zone, false, offset}
+}
+
 // TestEvacuationsInAnyOrder guards against an evacuation that is lost, or comes back after its
 // withdrawal, because records and snapshots of the topic repeat, overlap or arrive late.
 func TestEvacuationsInAnyOrder(t *testing.T) {
@@ -17,12 +48,7 @@
 	page := func(next int64, records ...evacuationRecord) evacuationChange {
 		return evacuationChange{records: records, next: next}
 	}
-	evacuate := func(zone string, offset int64) evacuationRecord { return evacuationRecord{zone, true, offset} }
-	withdraw := func(zone string, offset int64) evacuationRecord { return evacuationRecord{zone, false, offset} }
-	rows := map[string]struct {
-		changes []evacuationChange
-		want    map[string]int64
-	}{
+	rows := map[string]evacuationRow{
 		"evacuated":                   {[]evacuationChange{snapshot(2), page(3, evacuate("a", 2))}, map[string]int64{"a": 2}},
 		"two zones":                   {[]evacuationChange{page(4, evacuate("a", 2), evacuate("b", 3))}, map[string]int64{"a": 2, "b": 3}},
 		"withdrawn":                   {[]evacuationChange{page(3, evacuate("a", 2)), page(4, withdraw("a", 3))}, nil},
@@ -41,25 +67,13 @@
 		"snapshot with a later record":         {[]evacuationChange{snapshot(5, evacuate("a", 7)), page(8, withdraw("a", 6), evacuate("a", 7))}, map[string]int64{"a": 7}},
 		"snapshot that ends before the record": {[]evacuationChange{snapshot(5, evacuate("a", 7)), snapshot(6)}, map[string]int64{"a": 7}},
 	}
-	for name, row := range rows {
-		t.Run(name, func(t *testing.T) {
-			state := newEvacuations()
-			for _, change := range row.changes {
-				state.apply(change)
-			}
-			if !maps.Equal(state.zones, row.want) {
-				t.Errorf("evacuated zones got %v, want %v", state.zones, row.want)
-			}
-		})
-	}
+	testEvacuations(t, rows)
 }
 
 // TestEvacuationsAfterRestoreOfLog guards against an evacuation, or a withdrawal, that is ignored
 // because it is written again at a lower offset after the log has lost it, even before the first
 // read of the epoch, and against an evacuation that ends because the log has lost its record.
 func TestEvacuationsAfterRestoreOfLog(t *testing.T) {
-	evacuate := func(zone string, offset int64) evacuationRecord { return evacuationRecord{zone, true, offset} }
-	withdraw := func(zone string, offset int64) evacuationRecord { return evacuationRecord{zone, false, offset} }
 	page := func(epoch subscriber.Epoch, next int64, records ...evacuationRecord) evacuationChange {
 		return evacuationChange{records: records, next: next, epoch: epoch}
 	}
@@ -69,10 +83,7 @@
 	merged := func(epoch subscriber.Epoch, next int64, lost ...string) evacuationChange {
 		return evacuationChange{next: next, epoch: epoch, lost: lost}
 	}
-	rows := map[string]struct {
-		changes []evacuationChange
-		want    map[string]int64
-	}{
+	rows := map[string]evacuationRow{
 		"lost":                               {[]evacuationChange{page(1, 9, evacuate("a", 8)), merged(2, 4, "a")}, map[string]int64{"a": lostOffset}},
 		"lost and written again below":       {[]evacuationChange{page(1, 9, evacuate("a", 8)), merged(2, 4, "a"), page(2, 5, evacuate("a", 4))}, map[string]int64{"a": 4}},
 		"lost and written again above":       {[]evacuationChange{page(1, 9, evacuate("a", 8)), merged(2, 4, "a"), page(2, 21, evacuate("a", 20))}, map[string]int64{"a": 20}},
@@ -100,17 +111,7 @@
 		"lower when the log names its epoch": {[]evacuationChange{page(0, 9, evacuate("a", 8)), page(1, 9, withdraw("a", 5))}, map[string]int64{"a": 8}},
 		"complete change of the new epoch":   {[]evacuationChange{page(1, 9, evacuate("a", 8)), complete(2, 5, evacuate("b", 4))}, map[string]int64{"b": 4}},
 	}
-	for name, row := range rows {
-		t.Run(name, func(t *testing.T) {
-			state := newEvacuations()
-			for _, change := range row.changes {
-				state.apply(change)
-			}
-			if !maps.Equal(state.zones, row.want) {
-				t.Errorf("evacuated zones got %v, want %v", state.zones, row.want)
-			}
-		})
-	}
+	testEvacuations(t, rows)
 }
 
 // TestEvacuationOfFormerEpoch guards against an evacuation that a withdrawal at a lower offset does
