--- a/internal/exchanger/carried_test.go
+++ b/internal/exchanger/carried_test.go
@@ -43,15 +43,7 @@
 	}
 	for name, row := range rows {
 		t.Run(name, func(t *testing.T) {
-			address := listen(t, func(connection net.Conn, _ int) {
-				reader := bufio.NewReader(connection)
-				for {
-					if _, err := readRequest(reader); err != nil {
-						return
-					}
-					_, _ = io.WriteString(connection, okResponse)
-				}
-			})
+			address := listen(t, func(connection net.Conn, _ int) { respondToAll(connection) })
 			e := exchanger.New(connector.TCP{}, anyResponse)
 			t.Cleanup(e.Close)
 			for _, id := range row.ids {
@@ -76,13 +68,7 @@
 		if now := open.Add(1); now > maxOpen.Load() {
 			maxOpen.Store(now)
 		}
-		reader := bufio.NewReader(connection)
-		for {
-			if _, err := readRequest(reader); err != nil {
-				return
-			}
-			_, _ = io.WriteString(connection, okResponse)
-		}
+		respondToAll(connection)
 	})
 	e := exchanger.New(connector.TCP{}, anyResponse)
 	t.Cleanup(e.Close)
@@ -157,6 +143,17 @@
 	}
 }
 
+// respondToAll responds to the requests on a connection until it is closed.
+func respondToAll(connection net.Conn) {
+	reader := bufio.NewReader(connection)
+	for {
+		if _, err := readRequest(reader); err != nil {
+			return
+		}
+		_, _ = io.WriteString(connection, okResponse)
+	}
+}
+
 // matchID matches responses by their header Id.
 func matchID(_ int, response http.Header, id string) exchanger.Match {
 	if response.Get("Id") == id {
