Make one copy of the checks of settings

The settings of `serve` and of `entry` had the same collector of faults and the same checks of texts, addresses and the log level. decoder.Checker is the one copy. Messages and hints are unchanged; of several faults in the settings of `serve`, that of the log level comes earlier in the list now.

--- a/internal/runner/settings.go
+++ b/internal/runner/settings.go
@@ -49,28 +49,9 @@
 	ColdMargin float64
 }
 
-// settingsChecker collects the faults of settings.
+// settingsChecker converts settings and collects the faults that it finds.
 type settingsChecker struct {
-	faults decoder.Faults
-}
-
-func (c *settingsChecker) fault(path, message, fix string) {
-	c.faults = append(c.faults, decoder.Fault{Path: path, Message: message, Fix: fix})
-}
-
-func (c *settingsChecker) requiredText(path, value, fix string) string {
-	if value == "" {
-		c.fault(path, "is missing", fix)
-	}
-	return value
-}
-
-func (c *settingsChecker) address(path, value string) netip.AddrPort {
-	address, err := netip.ParseAddrPort(value)
-	if err != nil {
-		c.fault(path, "\""+value+"\" is not an address", `write it as "127.0.0.1:8080"`)
-	}
-	return address
+	decoder.Checker
 }
 
 // optionalAddress parses an address that may be missing.
@@ -78,38 +59,27 @@
 	if value == "" {
 		return netip.AddrPort{}
 	}
-	return c.address(path, value)
+	return c.Address(path, value)
 }
 
 func (c *settingsChecker) duration(path string, value *durationpb.Duration) time.Duration {
 	if value.AsDuration() <= 0 {
-		c.fault(path, "is not a positive duration", `write it as "2s"`)
+		c.AddFault(path, "is not a positive duration", `write it as "2s"`)
 	}
 	return value.AsDuration()
 }
 
 func (c *settingsChecker) ratio(path string, value float64) float64 {
 	if !(value >= 0) || value > 10 {
-		c.fault(path, "is not between 0 and 10", "write it as 0.1")
+		c.AddFault(path, "is not between 0 and 10", "write it as 0.1")
 	}
 	return value
 }
 
-func (c *settingsChecker) level(path, value string) hclog.Level {
-	if value == "" {
-		return hclog.Info
-	}
-	level := hclog.LevelFromString(value)
-	if level == hclog.NoLevel {
-		c.fault(path, "\""+value+"\" is not a log level", decoder.Suggest(value, []string{"trace", "debug", "info", "warn", "error"}))
-	}
-	return level
-}
-
 // share checks a share of a whole.
 func (c *settingsChecker) share(path string, value float64) float64 {
 	if !(value >= 0) || value > 1 {
-		c.fault(path, "is not between 0 and 1", "write it as 0.15")
+		c.AddFault(path, "is not between 0 and 1", "write it as 0.15")
 	}
 	return value
 }
@@ -117,7 +87,7 @@
 // count checks a number that bounds a count. It may have a fraction.
 func (c *settingsChecker) count(path string, value float64) float64 {
 	if !(value >= 0) {
-		c.fault(path, "is negative", "write it as 30")
+		c.AddFault(path, "is negative", "write it as 30")
 	}
 	return value
 }
@@ -136,14 +106,14 @@
 	c := &settingsChecker{}
 	listen, bounds := settings.GetListen(), settings.GetBounds()
 	checked := Settings{
-		Name:           c.requiredText("name", settings.GetName(), "name this instance"),
-		Zone:           c.requiredText("zone", settings.GetZone(), "name the availability zone"),
-		ClientAddress:  c.address("listen.callers", listen.GetCallers()),
-		ReadyAddress:   c.address("listen.ready", listen.GetReady()),
-		MetricsAddress: c.address("listen.metrics", listen.GetMetrics()),
+		Name:           c.Text("name", settings.GetName(), "name this instance"),
+		Zone:           c.Text("zone", settings.GetZone(), "name the availability zone"),
+		ClientAddress:  c.Address("listen.callers", listen.GetCallers()),
+		ReadyAddress:   c.Address("listen.ready", listen.GetReady()),
+		MetricsAddress: c.Address("listen.metrics", listen.GetMetrics()),
 		RelayAddress:   c.optionalAddress("listen.relay", listen.GetRelay()),
-		LogAddress:     c.address("store.address", settings.GetStore().GetAddress()),
-		LogLevel:       c.level("log", settings.GetLog()),
+		LogAddress:     c.Address("store.address", settings.GetStore().GetAddress()),
+		LogLevel:       c.LogLevel("log", settings.GetLog()),
 		RevokeDeadline: c.duration("bounds.revoke", bounds.GetRevoke()),
 		DrainDeadline:  c.duration("bounds.leave", bounds.GetLeave()),
 		StopGrace:      c.duration("bounds.grace", bounds.GetGrace()),
@@ -154,7 +124,7 @@
 		ColdFactor:     c.factor("bounds.cold", bounds.GetCold()),
 		ColdMargin:     c.count("bounds.margin", bounds.GetMargin()),
 	}
-	return checked, source.Locate(c.faults).Err()
+	return checked, source.Locate(c.Faults).Err()
 }
 
 // LoadSettings reads and checks a settings file.
--- a/internal/server/config.go
+++ b/internal/server/config.go
@@ -81,26 +81,7 @@
 
 // settingsReader converts settings and collects the faults that it finds.
 type settingsReader struct {
-	faults decoder.Faults
-}
-
-func (r *settingsReader) addFault(path, message, fix string) {
-	r.faults = append(r.faults, decoder.Fault{Path: path, Message: message, Fix: fix})
-}
-
-func (r *settingsReader) requireText(path, value, fix string) string {
-	if value == "" {
-		r.addFault(path, "is missing", fix)
-	}
-	return value
-}
-
-func (r *settingsReader) parseAddr(path, value string) netip.AddrPort {
-	addr, err := netip.ParseAddrPort(value)
-	if err != nil {
-		r.addFault(path, "\""+value+"\" is not an address", `write it as "127.0.0.1:8080"`)
-	}
-	return addr
+	decoder.Checker
 }
 
 // readSecrets reads a key file with one secret per line. The daemon uses the
@@ -108,17 +89,17 @@
 // they replace the daemons one by one.
 func (r *settingsReader) readSecrets(path, file string) []string {
 	if file == "" {
-		r.addFault(path, "is missing", "name a file that holds the secret")
+		r.AddFault(path, "is missing", "name a file that holds the secret")
 		return nil
 	}
 	data, err := os.ReadFile(file)
 	if err != nil {
-		r.addFault(path, "cannot be read: "+err.Error(), "create it with `quetzalgrade key`")
+		r.AddFault(path, "cannot be read: "+err.Error(), "create it with `quetzalgrade key`")
 		return nil
 	}
 	secrets := strings.Fields(string(data))
 	if len(secrets) == 0 || slices.ContainsFunc(secrets, func(s string) bool { return len(s) < minSecretBytes }) {
-		r.addFault(path, "must hold secrets of at least 16 bytes", "create it with `quetzalgrade key`")
+		r.AddFault(path, "must hold secrets of at least 16 bytes", "create it with `quetzalgrade key`")
 	}
 	return secrets
 }
@@ -145,16 +126,16 @@
 	r := &settingsReader{}
 	listen, platform, limits := settings.GetListen(), settings.GetPlatform(), settings.GetLimits()
 	config := Config{
-		Cluster:               r.requireText("cluster", settings.GetCluster(), "name the cluster"),
-		Name:                  r.requireText("name", settings.GetName(), "name this instance"),
-		Zone:                  r.requireText("zone", settings.GetZone(), "name the availability zone"),
-		ClientAddr:            r.parseAddr("listen.callers", listen.GetCallers()),
-		PeerAddr:              r.parseAddr("listen.peers", listen.GetPeers()),
-		OperatorAddr:          r.parseAddr("listen.operators", listen.GetOperators()),
-		MetricsAddr:           r.parseAddr("listen.metrics", listen.GetMetrics()),
-		LogAddr:               r.parseAddr("platform.log", platform.GetLog()),
-		RatingAddr:            r.parseAddr("platform.ratings", platform.GetRatings()),
-		InstanceListAddr:      r.parseAddr("platform.instances", platform.GetInstances()),
+		Cluster:               r.Text("cluster", settings.GetCluster(), "name the cluster"),
+		Name:                  r.Text("name", settings.GetName(), "name this instance"),
+		Zone:                  r.Text("zone", settings.GetZone(), "name the availability zone"),
+		ClientAddr:            r.Address("listen.callers", listen.GetCallers()),
+		PeerAddr:              r.Address("listen.peers", listen.GetPeers()),
+		OperatorAddr:          r.Address("listen.operators", listen.GetOperators()),
+		MetricsAddr:           r.Address("listen.metrics", listen.GetMetrics()),
+		LogAddr:               r.Address("platform.log", platform.GetLog()),
+		RatingAddr:            r.Address("platform.ratings", platform.GetRatings()),
+		InstanceListAddr:      r.Address("platform.instances", platform.GetInstances()),
 		AppendsPerSecond:      orDefault(platform.GetAppends(), defaultAppendsPerSecond),
 		Retention:             defaultRetention,
 		ConversationKeys:      toByteSlices(r.readSecrets("keys.conversations", settings.GetKeys().GetConversations())),
@@ -164,27 +145,21 @@
 		MaxBills:              orDefault(limits.GetBills(), defaultMaxBills),
 		MaxConcurrentRequests: orDefault(limits.GetParallel(), defaultMaxConcurrentRequests),
 		DrainTimeout:          defaultDrainTimeout,
-		LogLevel:              hclog.Info,
+		LogLevel:              r.LogLevel("log", settings.GetLog()),
 	}
 	if platform.GetRetention() != nil {
 		config.Retention = platform.GetRetention().AsDuration()
 	}
 	if config.Retention < time.Minute {
-		r.addFault("platform.retention", "is shorter than a minute", "set it to the time for which the log keeps a record")
+		r.AddFault("platform.retention", "is shorter than a minute", "set it to the time for which the log keeps a record")
 	}
 	if settings.GetDrain() != nil {
 		config.DrainTimeout = settings.GetDrain().AsDuration()
 	}
 	for i, seed := range settings.GetPeers() {
-		config.SeedPeers = append(config.SeedPeers, r.parseAddr(fmt.Sprintf("peers.%d", i), seed))
-	}
-	if settings.GetLog() != "" {
-		config.LogLevel = hclog.LevelFromString(settings.GetLog())
-		if config.LogLevel == hclog.NoLevel {
-			r.addFault("log", "\""+settings.GetLog()+"\" is not a log level", decoder.Suggest(settings.GetLog(), []string{"trace", "debug", "info", "warn", "error"}))
-		}
+		config.SeedPeers = append(config.SeedPeers, r.Address(fmt.Sprintf("peers.%d", i), seed))
 	}
-	return config, source.Locate(r.faults).Err()
+	return config, source.Locate(r.Faults).Err()
 }
 
 // Load reads a settings file and validates it with Check.
