Do not take an unready peer for the end of an outage

Cause: a subscriber whose peer is not ready pauses and repeats the read. The pause was returned as a read without an error, so a subscriber whose reads of the log failed counted them as succeeding again: its log said so, SinceOutage counted, the topics that follow its outages read again, and the grace of endpoints began although nothing had been read. Class: "no result" is taken for "success".

Change: such a read returns errPeerUnready, which changes nothing of what is known of failures. The pauses stay as they are.

--- a/internal/subscriber/newest.go
+++ b/internal/subscriber/newest.go
@@ -10,8 +10,8 @@
 
 // readNewest reads the newest record of every key, from the peer if it has them.
 func (s *Subscriber) readNewest(ctx context.Context) error {
-	if s.readPeerNewest(ctx) {
-		return nil
+	if done, err := s.readPeerNewest(ctx); done {
+		return err
 	}
 	sentAt := s.clock()
 	bounded, cancel := context.WithTimeout(ctx, newestTimeout)
@@ -27,11 +27,11 @@
 	return nil
 }
 
-// readPeerNewest applies the newest records from the peer, or pauses if the peer has not read
-// them since the log was restored. It returns false if the log must be read instead.
-func (s *Subscriber) readPeerNewest(ctx context.Context) (ok bool) {
+// readPeerNewest applies the newest records from the peer. It returns false if the log must be read
+// instead, and errPeerUnready if the peer has not read them since the log was restored.
+func (s *Subscriber) readPeerNewest(ctx context.Context) (done bool, err error) {
 	if s.peer == nil {
-		return false
+		return false, nil
 	}
 	sentAt := s.clock()
 	snapshot, lag, err := s.peer.Newest(ctx, s.name)
@@ -39,17 +39,17 @@
 		err = s.checkPeerSnapshot(snapshot)
 	}
 	if errors.Is(err, errBeforeRestore) && s.awaitPeer(ctx, err) {
-		return true
+		return true, errPeerUnready
 	}
 	if err != nil && !errors.Is(err, errRestored) {
 		if !errors.Is(err, ErrNoPeer) {
 			s.logger.Debug("cannot read all keys from peer; reading the log", "topic", s.name, "error", err)
 		}
-		return false
+		return false, nil
 	}
 	s.applyNewest(snapshot, sentAt-lag)
 	s.afterPeer = true
-	return true
+	return true, nil
 }
 
 // Errors of a peer's snapshot that is not applied.
--- a/internal/subscriber/outage_test.go
+++ b/internal/subscriber/outage_test.go
@@ -133,6 +133,39 @@
 	}
 }
 
+// unreadyPeer does not follow the topic. It counts the reads.
+type unreadyPeer struct {
+	topicPeer
+	reads *atomic.Int64
+}
+
+func (p unreadyPeer) Read(context.Context, string, subscriber.Position, time.Duration) (subscriber.Page, time.Duration, error) {
+	p.reads.Add(1)
+	return subscriber.Page{}, 0, subscriber.ErrUnread
+}
+
+// TestUnreadyPeerEndsNoOutage guards against an outage of the log that counts as over although
+// nothing has been read, because the peer was not ready and the read is to be repeated.
+func TestUnreadyPeerEndsNoOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		away := &atomic.Bool{}
+		away.Store(true)
+		peer := unreadyPeer{topicPeer{away: away}, &atomic.Int64{}}
+		source := &outageSource{start: time.Now(), from: time.Second, until: time.Minute}
+		topic := startTopicWithTiming(t, source, peer, subscriber.ReadTiming{Wait: 100 * time.Millisecond})
+		time.Sleep(5 * time.Second)
+		for range 1000 {
+			time.Sleep(10 * time.Millisecond)
+			if got, ok := topic.SinceOutage(); !ok || got != 0 {
+				t.Fatalf("SinceOutage() got %v, %t while all reads fail, want 0s, true", got, ok)
+			}
+		}
+		if peer.reads.Load() == 0 {
+			t.Error("reads from the peer got none, want some")
+		}
+	})
+}
+
 // TestFollowersOutlastShortFailure guards against followers that all give up their zone reader and
 // look for another one, because it reads the log again only some time after a short failure.
 func TestFollowersOutlastShortFailure(t *testing.T) {
--- a/internal/subscriber/subscriber.go
+++ b/internal/subscriber/subscriber.go
@@ -206,6 +206,10 @@
 		if ctx.Err() != nil {
 			break
 		}
+		if errors.Is(err, errPeerUnready) {
+			backoff = minBackoff
+			continue
+		}
 		s.recordResult(err)
 		if err == nil {
 			backoff = minBackoff
@@ -251,14 +255,18 @@
 	}
 }
 
+// errPeerUnready is the error of a read for which the peer was not ready. It has paused, and is to be
+// repeated. It says nothing about the log.
+var errPeerUnready = errors.New("peer is not ready yet")
+
 // readOnce makes one read. It reports whether records were received that should
 // be followed by the batch delay.
 func (s *Subscriber) readOnce(ctx context.Context) (received bool, err error) {
 	if !s.initialised || s.isHolding() && !s.holds() {
 		return true, s.readNewest(ctx)
 	}
-	if s.readPeer(ctx) {
-		return false, nil
+	if done, err := s.readPeer(ctx); done {
+		return false, err
 	}
 	sentAt := s.clock()
 	wait := s.timing.Wait
@@ -298,10 +306,10 @@
 }
 
 // readPeer applies a page from the peer. It returns false if the log must be
-// read instead.
-func (s *Subscriber) readPeer(ctx context.Context) (ok bool) {
+// read instead, and errPeerUnready if the peer is not ready.
+func (s *Subscriber) readPeer(ctx context.Context) (done bool, err error) {
 	if s.peer == nil {
-		return false
+		return false, nil
 	}
 	sentAt := s.clock()
 	wait := MaxPeerWait
@@ -316,24 +324,24 @@
 	if errors.Is(err, ErrExpired) || errors.Is(err, errRestored) {
 		// The peer has all keys, but no longer the records since this position.
 		s.initialised = false
-		return true
+		return true, nil
 	}
 	if s.awaitPeer(ctx, err) {
-		return true
+		return true, errPeerUnready
 	}
 	if err != nil {
 		if !errors.Is(err, ErrNoPeer) {
 			s.logger.Debug("cannot read topic from peer; reading the log", "topic", s.name, "error", err)
 		}
-		return false
+		return false, nil
 	}
 	if lag > s.timing.maxLag() {
 		s.logger.Warn("peer's last verified read is too old; reading the log", "topic", s.name, "lag", noter.FormatDuration(lag))
-		return false
+		return false, nil
 	}
 	s.applyPage(page, sentAt-lag)
 	s.afterPeer = true
-	return true
+	return true, nil
 }
 
 // awaitPeer pauses if the peer is not ready: it has just started, follows the topic a moment later
