--- a/internal/demonstrator/demo.go
+++ b/internal/demonstrator/demo.go
@@ -17,6 +17,7 @@
 	"quetzalgrade.example/quetzalgrade/internal/connector"
 	"quetzalgrade.example/quetzalgrade/internal/declarer"
 	"quetzalgrade.example/quetzalgrade/internal/pricer"
+	"quetzalgrade.example/quetzalgrade/internal/sleeper"
 	"quetzalgrade.example/quetzalgrade/pkg/caller"
 	"quetzalgrade.example/quetzalgrade/pkg/schema"
 )
@@ -193,7 +194,7 @@
 			d.print("\nbill     rota-office: %s for %d requests (one chat, one booking)", pricer.Money(response.Msg.GetAmount()), response.Msg.GetRequests())
 			return nil
 		}
-		sleep(d.ctx, 200*time.Millisecond)
+		sleeper.Sleep(d.ctx, 200*time.Millisecond)
 	}
 }
 
--- a/internal/demonstrator/driver.go
+++ b/internal/demonstrator/driver.go
@@ -14,6 +14,7 @@
 	"quetzalgrade.example/quetzalgrade/internal/checker"
 	"quetzalgrade.example/quetzalgrade/internal/faker"
 	"quetzalgrade.example/quetzalgrade/internal/journaler"
+	"quetzalgrade.example/quetzalgrade/internal/sleeper"
 	"quetzalgrade.example/quetzalgrade/pkg/caller"
 	"quetzalgrade.example/quetzalgrade/pkg/schema"
 )
@@ -123,7 +124,7 @@
 		d.lastNumber++
 		number := d.lastNumber
 		d.mu.Unlock()
-		sleep(ctx, gap)
+		sleeper.Sleep(ctx, gap)
 		if ctx.Err() != nil || !time.Now().Before(end) {
 			return
 		}
@@ -152,7 +153,7 @@
 		if ctx.Err() != nil {
 			return nil
 		}
-		sleep(ctx, 100*time.Millisecond)
+		sleeper.Sleep(ctx, 100*time.Millisecond)
 	}
 }
 
@@ -207,7 +208,7 @@
 		if callerErr, ok := errors.Into[*caller.Error](err); ok && !callerErr.Retry {
 			return
 		}
-		sleep(ctx, time.Second)
+		sleeper.Sleep(ctx, time.Second)
 	}
 }
 
@@ -242,7 +243,7 @@
 		for _, daemon := range d.simulation.Daemons() {
 			d.History.AddRevisionObservation(checker.RevisionObservation{Daemon: daemon.ID(), Revision: daemon.Server.Revision(), At: time.Now()})
 		}
-		sleep(ctx, time.Second)
+		sleeper.Sleep(ctx, time.Second)
 	}
 }
 
--- a/internal/demonstrator/fleet.go
+++ b/internal/demonstrator/fleet.go
@@ -24,6 +24,7 @@
 	"quetzalgrade.example/quetzalgrade/internal/faker"
 	"quetzalgrade.example/quetzalgrade/internal/router"
 	"quetzalgrade.example/quetzalgrade/internal/server"
+	"quetzalgrade.example/quetzalgrade/internal/sleeper"
 	"quetzalgrade.example/quetzalgrade/pkg/schema"
 	"quetzalgrade.example/quetzalgrade/pkg/schema/schemaconnect"
 )
@@ -407,7 +408,7 @@
 			if err := ctx.Err(); err != nil {
 				return errors.Wrapf(err, "daemon %s is not ready", daemon.Name)
 			}
-			sleep(ctx, 50*time.Millisecond)
+			sleeper.Sleep(ctx, 50*time.Millisecond)
 		}
 	}
 	return nil
@@ -425,12 +426,3 @@
 	_ = response.Body.Close()
 	return response.StatusCode == http.StatusOK
 }
-
-func sleep(ctx context.Context, duration time.Duration) {
-	timer := time.NewTimer(duration)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/journaler/appender.go
+++ b/internal/journaler/appender.go
@@ -9,6 +9,7 @@
 	"golang.org/x/time/rate"
 	"google.golang.org/protobuf/proto"
 
+	"quetzalgrade.example/quetzalgrade/internal/sleeper"
 	"quetzalgrade.example/quetzalgrade/pkg/schema"
 )
 
@@ -157,7 +158,8 @@
 			backoff = minBackoff
 			continue
 		}
-		if err := sleep(ctx, backoff); err != nil {
+		sleeper.Sleep(ctx, backoff)
+		if err := ctx.Err(); err != nil {
 			return err
 		}
 		backoff = min(2*backoff, maxBackoff)
@@ -272,14 +274,3 @@
 	a.urgent = count < len(a.pending)
 	return append([]*PendingRecord(nil), a.pending[:count]...)
 }
-
-func sleep(ctx context.Context, wait time.Duration) error {
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
--- a/internal/journaler/follower.go
+++ b/internal/journaler/follower.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"quetzalgrade.example/quetzalgrade/internal/sleeper"
 	"quetzalgrade.example/quetzalgrade/pkg/schema"
 )
 
@@ -209,7 +210,8 @@
 		return nil
 	case <-f.wake:
 		if failed {
-			return sleep(ctx, min(interval, minBackoff))
+			sleeper.Sleep(ctx, min(interval, minBackoff))
+			return ctx.Err()
 		}
 		return nil
 	case <-ctx.Done():
--- a/internal/prober/prober.go
+++ b/internal/prober/prober.go
@@ -14,6 +14,7 @@
 	"github.com/go-faster/errors"
 
 	"quetzalgrade.example/quetzalgrade/internal/gossiper"
+	"quetzalgrade.example/quetzalgrade/internal/sleeper"
 	"quetzalgrade.example/quetzalgrade/pkg/schema"
 )
 
@@ -92,7 +93,7 @@
 	random := p.newRandom(0)
 	// When ctx ends, the state's actor may still use the random source of a probe.
 	for ctx.Err() == nil {
-		sleep(ctx, time.Duration((1-probeJitter+2*probeJitter*random.Float64())*float64(probeInterval)))
+		sleeper.Sleep(ctx, time.Duration((1-probeJitter+2*probeJitter*random.Float64())*float64(probeInterval)))
 		if ctx.Err() != nil {
 			break
 		}
@@ -252,7 +253,7 @@
 			// A member that does not respond is found by the regular probes.
 			group.Go(func() { _ = p.probe(ctx, member, false, false) })
 		}
-		sleep(ctx, urgentInterval)
+		sleeper.Sleep(ctx, urgentInterval)
 		group.Wait()
 	}
 }
@@ -295,12 +296,3 @@
 		}
 	}
 }
-
-func sleep(ctx context.Context, pause time.Duration) {
-	timer := time.NewTimer(pause)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -21,6 +21,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"quetzalgrade.example/quetzalgrade/internal/connector"
+	"quetzalgrade.example/quetzalgrade/internal/sleeper"
 	"quetzalgrade.example/quetzalgrade/internal/subscriber"
 	"quetzalgrade.example/quetzalgrade/internal/tracker"
 	"quetzalgrade.example/quetzalgrade/pkg/schema"
@@ -206,9 +207,9 @@
 		select {
 		case <-timer.C:
 		case <-r.readerFailed:
-			sleep(ctx, time.Duration(rand.Int64N(int64(r.failureJitter()))))
+			sleeper.Sleep(ctx, time.Duration(rand.Int64N(int64(r.failureJitter()))))
 		case <-r.logRestored:
-			sleep(ctx, time.Duration(rand.Int64N(int64(startJitter))))
+			sleeper.Sleep(ctx, time.Duration(rand.Int64N(int64(startJitter))))
 			if r.Reads() {
 				r.recordAgain(ctx)
 			}
@@ -287,13 +288,6 @@
 	}
 }
 
-func sleep(ctx context.Context, pause time.Duration) {
-	select {
-	case <-time.After(pause):
-	case <-ctx.Done():
-	}
-}
-
 // checkDue reports whether the daemon must check which daemon is the zone reader.
 func (r *Relayer) checkDue() bool {
 	r.mu.Lock()
@@ -343,7 +337,7 @@
 			return
 		}
 		if jitter > 0 {
-			sleep(ctx, time.Duration(rand.Int64N(int64(jitter))))
+			sleeper.Sleep(ctx, time.Duration(rand.Int64N(int64(jitter))))
 			jitter = 0
 			continue
 		}
@@ -359,7 +353,7 @@
 		if !errors.Is(err, subscriber.ErrOffsetConflict) {
 			return
 		}
-		sleep(ctx, time.Duration(rand.Int64N(int64(claimJitter))))
+		sleeper.Sleep(ctx, time.Duration(rand.Int64N(int64(claimJitter))))
 	}
 }
 
--- a/internal/relayer/restore.go
+++ b/internal/relayer/restore.go
@@ -7,6 +7,7 @@
 
 	"github.com/go-faster/errors"
 
+	"quetzalgrade.example/quetzalgrade/internal/sleeper"
 	"quetzalgrade.example/quetzalgrade/internal/subscriber"
 )
 
@@ -71,7 +72,7 @@
 			time.AfterFunc(checkJitter, r.signalRestored)
 			return
 		}
-		sleep(ctx, time.Duration(rand.Int64N(int64(claimJitter))))
+		sleeper.Sleep(ctx, time.Duration(rand.Int64N(int64(claimJitter))))
 	}
 }
 
--- a/internal/server/stop.go
+++ b/internal/server/stop.go
@@ -11,6 +11,7 @@
 
 	"quetzalgrade.example/quetzalgrade/internal/gossiper"
 	"quetzalgrade.example/quetzalgrade/internal/pinner"
+	"quetzalgrade.example/quetzalgrade/internal/sleeper"
 )
 
 const (
@@ -30,7 +31,7 @@
 	s.stopping.Store(true)
 	s.gateway.DisableKeepAlives()
 	s.prober.AnnounceLeaving(ctx)
-	sleep(ctx, unreadyDelay)
+	sleeper.Sleep(ctx, unreadyDelay)
 	drainCtx, cancel := context.WithTimeout(ctx, s.config.DrainTimeout)
 	if err := s.clientServer.Shutdown(drainCtx); err != nil {
 		s.logger.Warn("drain timeout exceeded; aborting the remaining requests", "active", s.gateway.ActiveRequests())
@@ -88,16 +89,6 @@
 	}
 }
 
-// sleep waits for the given time or until ctx ends.
-func sleep(ctx context.Context, wait time.Duration) {
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
-
 // ready reports whether the load balancer should send requests to this daemon,
 // and the reason as text.
 func (s *Server) ready() (bool, string) {
--- a/internal/subscriber/subscriber.go
+++ b/internal/subscriber/subscriber.go
@@ -14,6 +14,7 @@
 	"github.com/hashicorp/go-hclog"
 
 	"quetzalgrade.example/quetzalgrade/internal/noter"
+	"quetzalgrade.example/quetzalgrade/internal/sleeper"
 )
 
 // Clock returns the time since a fixed moment. It keeps counting while the host
@@ -214,11 +215,11 @@
 		if err == nil {
 			backoff = minBackoff
 			if received && s.timing.BatchDelay > 0 {
-				sleep(ctx, s.timing.BatchDelay)
+				sleeper.Sleep(ctx, s.timing.BatchDelay)
 			}
 			continue
 		}
-		sleep(ctx, s.failurePause(backoff))
+		sleeper.Sleep(ctx, s.failurePause(backoff))
 		s.awaitRecovery(ctx)
 		backoff = min(2*backoff, maxBackoff)
 	}
@@ -242,16 +243,7 @@
 		return
 	}
 	for startedAt := s.clock(); s.followed.isFailing() && s.clock()-startedAt < maxFollowedPause && ctx.Err() == nil; {
-		sleep(ctx, recoveryInterval)
-	}
-}
-
-func sleep(ctx context.Context, pause time.Duration) {
-	timer := time.NewTimer(pause)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
+		sleeper.Sleep(ctx, recoveryInterval)
 	}
 }
 
@@ -354,7 +346,7 @@
 		return false
 	}
 	s.unreadCount++
-	sleep(ctx, unreadPause)
+	sleeper.Sleep(ctx, unreadPause)
 	return true
 }
 
