--- a/internal/subscriber/subscriber.go
+++ b/internal/subscriber/subscriber.go
@@ -14,6 +14,7 @@
 	"github.com/hashicorp/go-hclog"
 
 	"quetzalgrade.example/quetzalgrade/internal/noter"
+	"quetzalgrade.example/quetzalgrade/internal/sleeper"
 )
 
 // Clock returns the time since a fixed moment. It keeps counting while the host
@@ -86,7 +87,9 @@
 	verified   bool
 	// failing is set while the latest read has failed.
 	failing bool
-	reads   uint64
+	// failedAt is when reads began to fail. It is valid if failing is set.
+	failedAt time.Duration
+	reads    uint64
 	// recoveredAt is the time of the first read that succeeded after the last failed
 	// one. It is valid if hasRecovered is set.
 	recoveredAt  time.Duration
@@ -204,21 +207,35 @@
 		if ctx.Err() != nil {
 			break
 		}
+		if errors.Is(err, errPeerUnready) {
+			backoff = minBackoff
+			continue
+		}
 		s.recordResult(err)
 		if err == nil {
 			backoff = minBackoff
 			if received && s.timing.BatchDelay > 0 {
-				sleep(ctx, s.timing.BatchDelay)
+				sleeper.Sleep(ctx, s.timing.BatchDelay)
 			}
 			continue
 		}
-		sleep(ctx, time.Duration((0.5+rand.Float64()/2)*float64(backoff)))
+		sleeper.Sleep(ctx, s.failurePause(backoff))
 		s.awaitRecovery(ctx)
 		backoff = min(2*backoff, maxBackoff)
 	}
 	return ctx.Err()
 }
 
+// failurePause returns the pause after a failed read: a random part of the backoff, but so that a
+// read is made graceRead after reads began to fail.
+func (s *Subscriber) failurePause(backoff time.Duration) time.Duration {
+	pause := time.Duration((0.5 + rand.Float64()/2) * float64(backoff))
+	if untilRead := graceRead - s.sinceFailure(); untilRead > 0 {
+		pause = min(pause, untilRead)
+	}
+	return pause
+}
+
 // awaitRecovery waits while reads of the followed topic fail, for maxFollowedPause at most: they
 // may fail for a reason of their own.
 func (s *Subscriber) awaitRecovery(ctx context.Context) {
@@ -226,18 +243,13 @@
 		return
 	}
 	for startedAt := s.clock(); s.followed.isFailing() && s.clock()-startedAt < maxFollowedPause && ctx.Err() == nil; {
-		sleep(ctx, recoveryInterval)
+		sleeper.Sleep(ctx, recoveryInterval)
 	}
 }
 
-func sleep(ctx context.Context, pause time.Duration) {
-	timer := time.NewTimer(pause)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
+// errPeerUnready is the error of a read for which the peer was not ready. It has paused, and is to be
+// repeated. It says nothing about the log.
+var errPeerUnready = errors.New("peer is not ready yet")
 
 // readOnce makes one read. It reports whether records were received that should
 // be followed by the batch delay.
@@ -245,8 +257,8 @@
 	if !s.initialised || s.isHolding() && !s.holds() {
 		return true, s.readNewest(ctx)
 	}
-	if s.readPeer(ctx) {
-		return false, nil
+	if done, err := s.readPeer(ctx); done {
+		return false, err
 	}
 	sentAt := s.clock()
 	wait := s.timing.Wait
@@ -286,37 +298,42 @@
 }
 
 // readPeer applies a page from the peer. It returns false if the log must be
-// read instead.
-func (s *Subscriber) readPeer(ctx context.Context) (ok bool) {
+// read instead, and errPeerUnready if the peer is not ready.
+func (s *Subscriber) readPeer(ctx context.Context) (done bool, err error) {
 	if s.peer == nil {
-		return false
+		return false, nil
 	}
 	sentAt := s.clock()
-	page, lag, err := s.peer.Read(ctx, s.name, s.Next())
+	wait := MaxPeerWait
+	if s.isFailing() {
+		// As for a read of the log: the failure would last until the wait is over.
+		wait = 0
+	}
+	page, lag, err := s.peer.Read(ctx, s.name, s.Next(), wait)
 	if err == nil {
 		err = s.checkEpoch(page.Epoch)
 	}
 	if errors.Is(err, ErrExpired) || errors.Is(err, errRestored) {
 		// The peer has all keys, but no longer the records since this position.
 		s.initialised = false
-		return true
+		return true, nil
 	}
 	if s.awaitPeer(ctx, err) {
-		return true
+		return true, errPeerUnready
 	}
 	if err != nil {
 		if !errors.Is(err, ErrNoPeer) {
 			s.logger.Debug("cannot read topic from peer; reading the log", "topic", s.name, "error", err)
 		}
-		return false
+		return false, nil
 	}
 	if lag > s.timing.maxLag() {
 		s.logger.Warn("peer's last verified read is too old; reading the log", "topic", s.name, "lag", noter.FormatDuration(lag))
-		return false
+		return false, nil
 	}
 	s.applyPage(page, sentAt-lag)
 	s.afterPeer = true
-	return true
+	return true, nil
 }
 
 // awaitPeer pauses if the peer is not ready: it has just started, follows the topic a moment later
@@ -329,7 +346,7 @@
 		return false
 	}
 	s.unreadCount++
-	sleep(ctx, unreadPause)
+	sleeper.Sleep(ctx, unreadPause)
 	return true
 }
 
