Do not run a request whose client has left before it was read

Cause: a daemon without processor time (scheduling delay 1.06 s) read the request 1.57 s after it was sent. The client's end lay in the socket behind it; net/http looks for it only by a read that begins with the handler, and that read waits for the processor while the request is passed on. Change: before a request is served the drainer looks whether the client has closed the connection. Gauge requests_of_gone_clients.

--- a/internal/drainer/connection.go
+++ b/internal/drainer/connection.go
@@ -85,6 +85,15 @@
 	return c.closed
 }
 
+// isLeft reports whether the client has closed the connection, and counts it.
+func (c *connection) isLeft() bool {
+	if connector.Peek(c.Conn) != connector.PendingEnd {
+		return false
+	}
+	c.drainer.record(func(counts *Counts) { counts.Gone++ })
+	return true
+}
+
 // Read implements net.Conn. The end of the wait for a request says that none has come in time, so
 // a reader that got no processor time must look once more.
 func (c *connection) Read(data []byte) (int, error) {
@@ -110,7 +119,7 @@
 	if !c.mustClose() {
 		return 0, os.ErrDeadlineExceeded
 	}
-	c.drainer.recordClosed()
+	c.drainer.record(func(counts *Counts) { counts.Closed++ })
 	return 0, io.EOF
 }
 
@@ -125,7 +134,7 @@
 	c.receiving = true
 	c.mu.Unlock()
 	if found {
-		c.drainer.recordFound()
+		c.drainer.record(func(counts *Counts) { counts.Found++ })
 	}
 }
 
--- a/internal/drainer/drainer.go
+++ b/internal/drainer/drainer.go
@@ -31,11 +31,14 @@
 	drainedSince time.Time
 }
 
-// Counts counts connections that were to close because they had no request.
+// Counts counts what became of connections.
 type Counts struct {
-	// Closed counts those that have been closed, Found those in which a request waited.
+	// Closed counts those that were closed because they had no request, Found those that were to
+	// close and in which a request waited.
 	Closed uint64
 	Found  uint64
+	// Gone counts the requests whose client had closed the connection before they were served.
+	Gone uint64
 }
 
 // New returns a drainer without listeners and connections.
@@ -47,7 +50,9 @@
 type connectionKey struct{}
 
 // Watch makes a server report the states of its connections. It must be called before the server
-// serves a listener of the drainer. The server runs no request of a connection that it has closed.
+// serves a listener of the drainer. The server runs no request of a connection that it, or the client,
+// has closed: net/http learns that a client is gone by a read that begins with the handler, which a
+// server without processor time makes after the request has been passed on.
 func (d *Drainer) Watch(server *http.Server) {
 	handler := server.Handler
 	server.ConnState = func(netConn net.Conn, state http.ConnState) {
@@ -59,7 +64,7 @@
 		return context.WithValue(ctx, connectionKey{}, netConn)
 	}
 	server.Handler = http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
-		if c, ok := request.Context().Value(connectionKey{}).(*connection); ok && c.isClosed() {
+		if c, ok := request.Context().Value(connectionKey{}).(*connection); ok && (c.isClosed() || c.isLeft()) {
 			panic(http.ErrAbortHandler)
 		}
 		handler.ServeHTTP(writer, request)
@@ -72,23 +77,18 @@
 	delete(d.connections, c)
 }
 
-// Counts returns what became of the unused connections.
+// Counts returns the counts.
 func (d *Drainer) Counts() Counts {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	return d.counts
 }
 
-func (d *Drainer) recordClosed() {
+// record changes the counts.
+func (d *Drainer) record(change func(*Counts)) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.counts.Closed++
-}
-
-func (d *Drainer) recordFound() {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.counts.Found++
+	change(&d.counts)
 }
 
 // Drain closes the listeners once they have accepted what waits there, and the connections that are
--- a/internal/drainer/drainer_test.go
+++ b/internal/drainer/drainer_test.go
@@ -491,6 +491,42 @@
 	}
 }
 
+// TestRequestOfGoneClientDoesNotRun guards against a request that runs although its client has
+// closed the connection: the server had no processor time to read it before.
+func TestRequestOfGoneClientDoesNotRun(t *testing.T) {
+	s := newTestServer(t)
+	held := make(chan struct{})
+	waiting := make(chan struct{}, 9)
+	s.listener.beforeRead = func() {
+		if s.idled.Load() == 1 {
+			waiting <- struct{}{}
+			<-held
+		}
+	}
+	client := s.start()
+	if err := exchange(client, bufio.NewReader(client)); err != nil {
+		t.Fatalf("first exchange got error %v, want nil", err)
+	}
+	<-s.idle
+	<-waiting
+	if _, err := io.WriteString(client, request); err != nil {
+		t.Fatalf("write got error %v, want nil", err)
+	}
+	if err := client.Close(); err != nil {
+		t.Fatalf("Close() got error %v, want nil", err)
+	}
+	close(held)
+	if !s.drain() {
+		t.Error("Drain() got false, want true")
+	}
+	if got := s.served.Load(); got != 1 {
+		t.Errorf("served requests got %d, want 1", got)
+	}
+	if got := s.drainer.Counts().Gone; got != 1 {
+		t.Errorf("requests of gone clients got %d, want 1", got)
+	}
+}
+
 // TestUnusedConnectionsClose guards against a stop that waits for connections on which nothing is
 // sent.
 func TestUnusedConnectionsClose(t *testing.T) {
--- a/internal/runner/listen.go
+++ b/internal/runner/listen.go
@@ -109,6 +109,7 @@
 	gauge("endpoint_reads", func() float64 { return float64(r.endpointTopic.Reads()) })
 	gauge("relayed_reads", func() float64 { return float64(r.relayer.RelayedReads()) })
 	gauge("scheduling_delay_seconds", func() float64 { return r.delay.delay().Seconds() })
+	gauge("requests_of_gone_clients", func() float64 { return float64(r.drainer.Counts().Gone) })
 	gauge("body_bytes", func() float64 { return float64(r.bodies.Used()) })
 	gauge("endpoints", func() float64 { endpoints, _ := r.tracker.Counts(); return float64(endpoints) })
 	gauge("ejections", func() float64 { _, ejections := r.tracker.Counts(); return float64(ejections) })
--- a/internal/runner/stop.go
+++ b/internal/runner/stop.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"quetzalgrade.example/quetzalgrade/internal/forwarder"
+	"quetzalgrade.example/quetzalgrade/internal/sleeper"
 )
 
 const (
@@ -69,7 +70,7 @@
 	var announced sync.WaitGroup
 	announced.Go(func() { r.peers.prober.AnnounceLeaving(ctx) })
 	defer announced.Wait()
-	sleepUntil(ctx, times.unlistedAt)
+	sleeper.Sleep(ctx, time.Until(times.unlistedAt))
 	defer r.logConnections()
 	if !r.drainer.Drain(ctx, times.requestsEndAt) {
 		r.logger.Warn("requests still running at the end of the stop grace")
@@ -83,11 +84,3 @@
 	counts := r.drainer.Counts()
 	r.logger.Info("unused connections closed", "closed", counts.Closed, "found", counts.Found, "delay", r.delay.delay())
 }
-
-// sleepUntil sleeps until the time or the end of ctx.
-func sleepUntil(ctx context.Context, end time.Time) {
-	select {
-	case <-time.After(time.Until(end)):
-	case <-ctx.Done():
-	}
-}
