Forget the health of an endpoint that is gone

Cause: the tracker kept the health of an endpoint when it was removed or moved to another address. While it was ejected it used up the cap on ejections, and its pace stayed in the median, so that a failing or slow endpoint of the rest was not ejected. Results that came after the removal made the entry anew, or counted for the endpoint that had the address by then. Change: the health goes with the endpoint, unless another endpoint of the service is at the address, whose health it is now. Results count only for an endpoint that is still registered with the incarnation and the address to which the request was sent. Tests: TestEjectionAfterEndpointsAreGone failed in 12 of 12 cases before, TestHealthAtReusedAddress in 2 of 5 rows (the others guard the address that is used again); both pass.

--- a/internal/tracker/choice.go
+++ b/internal/tracker/choice.go
@@ -297,27 +297,41 @@
 	if !c.end(now) || outcome == Neutral {
 		return
 	}
-	health := t.serviceHealth(c.Service)
 	switch outcome {
 	case Success:
 		c.endpoint.connectFailures = 0
 		t.recordDuration(c.Service, time.Duration(float64(c.responseEndedAt.Sub(c.startedAt))/c.Slowdown))
 		t.recordEventTime(c, pace)
-		health.RecordSuccess(c.Address, pace, now)
-		health.ReduceNextEjection(c.Address, now)
 	case ConnectFailed, Unreachable:
 		c.endpoint.downUntil = now.Add(min(maxDownTime, minDownTime<<min(c.endpoint.connectFailures, 4)))
 		c.endpoint.connectFailures++
 		t.suspectCold(c.endpoint, now)
 	case Neutral, Failure:
-		health.RecordFailure(c.Address, now)
 	}
 	if outcome >= ConnectFailed && c.Zone != t.zone && t.zoneReachability(c.Zone).recordFailure(c.ID, now) {
 		t.logger.Warn("zone is unreachable; sending it one request at a time", "zone", c.Zone, "endpoint", c.ID)
 	}
-	if health.EjectIfUnhealthy(c.Address, t.countEndpoints(c.Service), now) {
+	t.recordHealth(c.Registration, outcome, pace, now)
+}
+
+// recordHealth records the outcome of a request in the health of its endpoint, and ejects an
+// unhealthy one. It ignores an endpoint that is gone: another one may have the address.
+func (t *Tracker) recordHealth(registration Registration, outcome Outcome, pace time.Duration, now time.Time) {
+	if !t.isCurrent(registration) {
+		return
+	}
+	health := t.serviceHealth(registration.Service)
+	switch outcome {
+	case Success:
+		health.RecordSuccess(registration.Address, pace, now)
+		health.ReduceNextEjection(registration.Address, now)
+	case Failure:
+		health.RecordFailure(registration.Address, now)
+	case Neutral, ConnectFailed, Unreachable:
+	}
+	if health.EjectIfUnhealthy(registration.Address, t.countEndpoints(registration.Service), now) {
 		t.ejections++
-		t.logChange("endpoint ejected because of failed or slow responses", c.Registration)
+		t.logChange("endpoint ejected because of failed or slow responses", registration)
 	}
 }
 
--- a/internal/tracker/tracker.go
+++ b/internal/tracker/tracker.go
@@ -190,6 +190,7 @@
 func (t *Tracker) update(endpoint *endpointState, registration Registration) {
 	if !endpoint.Started.Equal(registration.Started) || endpoint.Address != registration.Address {
 		t.logChange("endpoint restarted or changed its address", registration)
+		t.forgetHealth(endpoint.Registration)
 		t.serviceHealth(registration.Service).Forget(registration.Address)
 		endpoint.otherLoad = 0
 		endpoint.othersTrend = trend{}
@@ -229,7 +230,7 @@
 		if endpoint.Draining {
 			t.drained.add(endpoint.Registration, t.now())
 		}
-		delete(t.endpoints, id)
+		t.delete(endpoint)
 		return
 	}
 	if endpoint.removeAt.IsZero() {
@@ -238,6 +239,30 @@
 	}
 }
 
+// delete deletes an endpoint with its health, which would count in the ejections of the others.
+func (t *Tracker) delete(endpoint *endpointState) {
+	delete(t.endpoints, endpoint.ID)
+	t.forgetHealth(endpoint.Registration)
+}
+
+// forgetHealth discards the health of an endpoint that is gone from its address, unless another
+// one of the service is there now.
+func (t *Tracker) forgetHealth(registration Registration) {
+	for _, other := range t.endpoints {
+		isThere := other.Service == registration.Service && other.Address == registration.Address && !other.misdirected
+		if isThere && other.ID != registration.ID {
+			return
+		}
+	}
+	t.serviceHealth(registration.Service).Forget(registration.Address)
+}
+
+// isCurrent reports whether an endpoint is still registered with the same incarnation and address.
+func (t *Tracker) isCurrent(registration Registration) bool {
+	endpoint := t.endpoints[registration.ID]
+	return endpoint != nil && endpoint.Started.Equal(registration.Started) && endpoint.Address == registration.Address
+}
+
 // Retain removes the endpoints that are not among the ids, as Remove does.
 func (t *Tracker) Retain(ids map[string]bool, grace time.Duration) {
 	t.mu.Lock()
@@ -274,7 +299,7 @@
 	t.extendGrace(endpoint, now)
 	if !endpoint.removeAt.IsZero() && now.After(endpoint.removeAt) {
 		t.logChange("endpoint removed", endpoint.Registration)
-		delete(t.endpoints, endpoint.ID)
+		t.delete(endpoint)
 		return false
 	}
 	return true
--- a/internal/tracker/tracker_test.go
+++ b/internal/tracker/tracker_test.go
@@ -314,3 +314,162 @@
 		t.Errorf("endpoints of a small subset got %v, want the same two on all daemons", used)
 	}
 }
+
+// endWith ends requests at an endpoint with an outcome and a pace.
+func endWith(t *testing.T, tr *tracker.Tracker, id string, results int, outcome tracker.Outcome, pace time.Duration) {
+	t.Helper()
+	for range results {
+		pickFrom(t, tr, id).End(outcome, pace)
+	}
+}
+
+// pickFrom returns a choice of the endpoint.
+func pickFrom(t *testing.T, tr *tracker.Tracker, id string) *tracker.Choice {
+	t.Helper()
+	var others []string
+	for i := range 10 {
+		if other := fmt.Sprint("e", i); other != id {
+			others = append(others, other)
+		}
+	}
+	return pick(t, tr, tracker.Query{Service: "helper", Tried: others})
+}
+
+// moved returns the registration of an endpoint at the address of another one.
+func moved(i, address int) tracker.Registration {
+	endpoint := registration(i)
+	endpoint.Address = registration(address).Address
+	endpoint.Sequence = 1
+	return endpoint
+}
+
+// TestEjectionAfterEndpointsAreGone guards against an endpoint that is not ejected because of the
+// health of endpoints that are gone: ejected ones use up the cap, and their paces count in the
+// median.
+func TestEjectionAfterEndpointsAreGone(t *testing.T) {
+	rows := map[string]struct {
+		// gone takes the endpoints e0 and e1 out of six.
+		gone func(tr *tracker.Tracker, c *clock)
+		// late is set if results of these endpoints arrive afterwards.
+		late bool
+	}{
+		"removed": {func(tr *tracker.Tracker, _ *clock) {
+			tr.Remove("e0", 0)
+			tr.Remove("e1", 0)
+		}, false},
+		"removed, late results": {func(tr *tracker.Tracker, _ *clock) {
+			tr.Remove("e0", 0)
+			tr.Remove("e1", 0)
+		}, true},
+		"not among those of the log": {func(tr *tracker.Tracker, _ *clock) {
+			tr.Retain(map[string]bool{"e2": true, "e3": true, "e4": true, "e5": true}, 0)
+		}, false},
+		"grace period is over": {func(tr *tracker.Tracker, c *clock) {
+			tr.Remove("e0", time.Second)
+			tr.Remove("e1", time.Second)
+			c.advance(1100 * time.Millisecond)
+			// The next look at the endpoints removes them.
+			tr.Room(tracker.Query{Service: "helper"})
+		}, false},
+		"moved to other addresses": {func(tr *tracker.Tracker, _ *clock) {
+			tr.Put(moved(0, 10))
+			tr.Put(moved(1, 11))
+		}, false},
+		"moved to other addresses, late results": {func(tr *tracker.Tracker, _ *clock) {
+			tr.Put(moved(0, 10))
+			tr.Put(moved(1, 11))
+		}, true},
+	}
+	for name, row := range rows {
+		t.Run(name, func(t *testing.T) {
+			t.Run("failing", func(t *testing.T) {
+				tr, c := newTracker(t, 6)
+				var late []*tracker.Choice
+				for range 8 {
+					late = append(late, pickFrom(t, tr, "e0"), pickFrom(t, tr, "e1"))
+				}
+				if !row.late {
+					endWith(t, tr, "e0", 4, tracker.Failure, 0)
+					endWith(t, tr, "e1", 4, tracker.Failure, 0)
+				}
+				row.gone(tr, c)
+				if row.late {
+					endAll(late, tracker.Failure, 0)
+				}
+				_, before := tr.Counts()
+				endWith(t, tr, "e2", 4, tracker.Failure, 0)
+				if _, after := tr.Counts(); after != before+1 {
+					t.Errorf("ejections of a failing endpoint got %d, want 1", after-before)
+				}
+			})
+			t.Run("slow", func(t *testing.T) {
+				tr, c := newTracker(t, 6)
+				late := []*tracker.Choice{pickFrom(t, tr, "e0"), pickFrom(t, tr, "e0"), pickFrom(t, tr, "e1"), pickFrom(t, tr, "e1")}
+				if !row.late {
+					endAll(late, tracker.Success, 100*time.Millisecond)
+				}
+				row.gone(tr, c)
+				if row.late {
+					endAll(late, tracker.Success, 100*time.Millisecond)
+				}
+				endWith(t, tr, "e2", 2, tracker.Success, 10*time.Millisecond)
+				endWith(t, tr, "e3", 2, tracker.Success, 40*time.Millisecond)
+				if _, got := tr.Counts(); got != 1 {
+					t.Errorf("ejections of a slow endpoint got %d, want 1", got)
+				}
+			})
+		})
+	}
+}
+
+// endAll ends requests with an outcome and a pace.
+func endAll(choices []*tracker.Choice, outcome tracker.Outcome, pace time.Duration) {
+	for _, choice := range choices {
+		choice.End(outcome, pace)
+	}
+}
+
+// TestHealthAtReusedAddress guards against an endpoint that gets a clean record, or that of
+// another one, when an endpoint that was at its address before is removed or moves.
+func TestHealthAtReusedAddress(t *testing.T) {
+	rows := map[string]struct {
+		// leave takes e0 from the address at which e6 is.
+		leave func(tr *tracker.Tracker, late []*tracker.Choice)
+		// failures are those of e6 after that, of which it has three before.
+		failures int
+		want     uint64
+	}{
+		"removed": {func(tr *tracker.Tracker, _ []*tracker.Choice) { tr.Remove("e0", 0) }, 1, 1},
+		"moved":   {func(tr *tracker.Tracker, _ []*tracker.Choice) { tr.Put(moved(0, 10)) }, 1, 1},
+		"removed, late failures of the former one": {func(tr *tracker.Tracker, late []*tracker.Choice) {
+			tr.Remove("e0", 0)
+			endAll(late, tracker.Failure, 0)
+		}, 0, 0},
+		"moved, late failures of the former one": {func(tr *tracker.Tracker, late []*tracker.Choice) {
+			tr.Put(moved(0, 10))
+			endAll(late, tracker.Failure, 0)
+		}, 0, 0},
+		"registered again, late failures": {func(tr *tracker.Tracker, late []*tracker.Choice) {
+			tr.Remove("e6", 0)
+			tr.Remove("e0", 0)
+			tr.Put(registration(0))
+			endAll(late, tracker.Failure, 0)
+		}, 0, 1},
+	}
+	for name, row := range rows {
+		t.Run(name, func(t *testing.T) {
+			tr, _ := newTracker(t, 6)
+			var late []*tracker.Choice
+			for range 4 {
+				late = append(late, pickFrom(t, tr, "e0"))
+			}
+			tr.Put(moved(6, 0))
+			endWith(t, tr, "e6", 3, tracker.Failure, 0)
+			row.leave(tr, late)
+			endWith(t, tr, "e6", row.failures, tracker.Failure, 0)
+			if _, got := tr.Counts(); got != row.want {
+				t.Errorf("ejections got %d, want %d", got, row.want)
+			}
+		})
+	}
+}
