Write a report again whose append failed

Cause: reportWrite counts bad results and the list of sessions as reported before the append. After a failed append the list of sessions on the old version was written only with the next new result, in a quiet service never, so that other daemons may have moved these sessions; the results waited for new ones, too. Change: a failed append sets a mark under the mutex, and the next report interval writes the report anew, with all results and the list. If the append was done without a response, the second report replaces the first under its key. Nothing is written more often than once in an interval. Tests: TestReportWhoseAppendFails failed in 5 of 8 rows before and passes; the others, and TestFailedReportIsNotRepeatedAtOnce, guard what held.

--- a/internal/runner/progress.go
+++ b/internal/runner/progress.go
@@ -14,7 +14,7 @@
 
 // writeDue writes this daemon's reports and the rollout states that are due. It
 // logs a failed write. The state is then decided anew at the next call, whereas a
-// failed report is not written again before the next one is due.
+// failed report is written anew when the next report interval begins.
 func (m *rolloutManager) writeDue(ctx context.Context) {
 	for _, write := range m.dueWrites() {
 		if err := write(ctx); err != nil {
--- a/internal/runner/reports.go
+++ b/internal/runner/reports.go
@@ -96,9 +96,10 @@
 
 // reportWrite returns a write of this daemon's report on a rollout, or nil if
 // none is due. A report is due when a report interval begins and the number of bad
-// results has changed, or the log has lost the latest report; every few intervals if the
-// number of compared results has changed; and once to list the sessions on the old version if
-// there are any.
+// results has changed, the log has lost the latest report or its append failed; every few
+// intervals if the number of compared results has changed; and once to list the sessions on the
+// old version if there are any. The append that failed may have been done: a second report
+// replaces the first.
 func (m *rolloutManager) reportWrite(rollout *rolloutState, now time.Duration) func(context.Context) error {
 	listSessions := !rollout.sessionsListed && promoter.ShouldListSessions(rollout.state, now-rollout.stateEntered)
 	if listSessions {
@@ -110,10 +111,11 @@
 	rollout.lastReportInterval = interval
 	evidenceGrown := due && (rollout.evidence.Bad() != rollout.reportedBad ||
 		interval%speedReportIntervals == 0 && rollout.evidence.Compared() != rollout.reportedCompared)
-	isLost := due && m.hasLostReport(rollout)
-	if !evidenceGrown && !isLost && (!listSessions || len(rollout.oldVersionSessions) == 0) {
+	isMissing := due && (m.hasLostReport(rollout) || rollout.reportFailed)
+	if !evidenceGrown && !isMissing && (!listSessions || len(rollout.oldVersionSessions) == 0) {
 		return nil
 	}
+	rollout.reportFailed = false
 	rollout.reportedBad = rollout.evidence.Bad()
 	rollout.reportedCompared = rollout.evidence.Compared()
 	data, err := proto.Marshal(newReport(rollout))
@@ -122,12 +124,23 @@
 		if err != nil {
 			return err
 		}
-		ctx, cancel := context.WithTimeout(ctx, writeTimeout)
-		defer cancel()
-		return m.deps.ResultsTopic.Append(ctx, m.reportKey, data)
+		return m.appendReport(ctx, rollout, data)
 	}
 }
 
+// appendReport appends a report on a rollout to the log, and records a failure.
+func (m *rolloutManager) appendReport(ctx context.Context, rollout *rolloutState, data []byte) error {
+	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
+	defer cancel()
+	err := m.deps.ResultsTopic.Append(ctx, m.reportKey, data)
+	if err != nil {
+		m.mu.Lock()
+		defer m.mu.Unlock()
+		rollout.reportFailed = true
+	}
+	return err
+}
+
 // hasLostReport reports, once after a restore of the log, whether it has lost the latest report
 // on the rollout.
 func (m *rolloutManager) hasLostReport(rollout *rolloutState) bool {
--- a/internal/runner/reports_test.go
+++ b/internal/runner/reports_test.go
@@ -1,9 +1,12 @@
 package runner
 
 import (
+	"context"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"runtime"
+	"slices"
 	"testing"
 	"time"
 
@@ -118,6 +121,111 @@
 	}
 }
 
+// appendTopic is a topic whose appends get a number of errors first. Those that are done keep their
+// values, also one without a response.
+type appendTopic struct {
+	WritableTopic
+	errors []error
+	// done is set if an append with an error is done.
+	done   bool
+	values [][]byte
+}
+
+// Append implements WritableTopic.
+func (a *appendTopic) Append(_ context.Context, _ string, value []byte) error {
+	var err error
+	if len(a.errors) > 0 {
+		err, a.errors = a.errors[0], a.errors[1:]
+	}
+	if err == nil || a.done {
+		a.values = append(a.values, value)
+	}
+	return err
+}
+
+// TestReportWhoseAppendFails guards against a report that is never written because its append
+// failed: other daemons would move the sessions that it lists, and would lack its evidence.
+func TestReportWhoseAppendFails(t *testing.T) {
+	failed := errors.New("the log is away")
+	rows := map[string]struct {
+		errors []error
+		done   bool
+		// isBad is set if there is a bad result, and isOld if a session is on the old version.
+		isBad, isOld bool
+		want         int
+	}{
+		"nothing to report":                    {[]error{failed}, false, false, false, 0},
+		"sessions, no error":                   {nil, false, false, true, 1},
+		"sessions":                             {[]error{failed}, false, false, true, 1},
+		"sessions, fails often":                {[]error{failed, failed, failed}, false, false, true, 1},
+		"sessions, done without response":      {[]error{failed}, true, false, true, 2},
+		"bad result, no error":                 {nil, false, true, false, 1},
+		"bad result":                           {[]error{failed}, false, true, false, 1},
+		"bad result and sessions, fails twice": {[]error{failed, failed}, false, true, true, 1},
+	}
+	for name, row := range rows {
+		t.Run(name, func(t *testing.T) {
+			now := time.Hour
+			m := newTestManager(&now)
+			topic := &appendTopic{errors: row.errors, done: row.done}
+			m.deps.ResultsTopic = topic
+			orderStep{epoch: 1, order: promoter.Order{Service: "helper", Target: "v2", Duration: time.Minute, Epoch: 1, Offset: 8}}.apply(m, &now)
+			rollout := m.byService["helper"]
+			m.applyStatus(rollout, promoter.Status{Service: "helper", Target: "v2", OrderOffset: 8, State: promoter.Canary, Share: 1})
+			if row.isOld {
+				m.sessions.SetVersion("s1", "v1", time.Now())
+			}
+			if row.isBad {
+				rollout.evidence.Add("e1", "chat", false)
+			}
+			for range 60 {
+				now += decideInterval
+				if write := m.reportWrite(rollout, now); write != nil {
+					_ = write(t.Context())
+				}
+			}
+			if len(topic.values) != row.want {
+				t.Fatalf("reports in the log got %d, want %d", len(topic.values), row.want)
+			}
+			if row.want == 0 {
+				return
+			}
+			report := &schema.RolloutReport{}
+			if err := proto.Unmarshal(topic.values[len(topic.values)-1], report); err != nil {
+				t.Fatalf("Unmarshal() got error %v, want nil", err)
+			}
+			if got := len(report.GetSessions()) == 1; got != row.isOld {
+				t.Errorf("session listed: %t, want %t", got, row.isOld)
+			}
+			if got := len(report.GetDoubts()) == 1; got != row.isBad {
+				t.Errorf("bad result reported: %t, want %t", got, row.isBad)
+			}
+		})
+	}
+}
+
+// TestFailedReportIsNotRepeatedAtOnce guards against daemons that all write a report at each
+// decision while the log is away.
+func TestFailedReportIsNotRepeatedAtOnce(t *testing.T) {
+	now := time.Hour
+	m := newTestManager(&now)
+	m.deps.ResultsTopic = &appendTopic{errors: slices.Repeat([]error{errors.New("the log is away")}, 100)}
+	orderStep{epoch: 1, order: promoter.Order{Service: "helper", Target: "v2", Duration: time.Minute, Epoch: 1, Offset: 8}}.apply(m, &now)
+	rollout := m.byService["helper"]
+	rollout.evidence.Add("e1", "chat", false)
+	writes := 0
+	for range 10 * reportInterval / decideInterval {
+		now += decideInterval
+		if write := m.reportWrite(rollout, now); write != nil {
+			writes++
+			_ = write(t.Context())
+		}
+	}
+	if writes > 10 {
+		t.Errorf("reports in 10 intervals got %d, want at most 10", writes)
+	}
+}
+
 // TestReportsOnOrderThatMoved guards against evidence of other daemons that is dropped because they
 // know the order at another offset, and against evidence on another version whose order got the
 // offset of one that the log has lost.
--- a/internal/runner/rollouts.go
+++ b/internal/runner/rollouts.go
@@ -54,9 +54,11 @@
 	// in the latest report.
 	reportedBad      int
 	reportedCompared int
-	// lastReport is the latest report. checkReport is set when the log may have lost it.
-	lastReport  string
-	checkReport bool
+	// lastReport is the latest report. checkReport is set when the log may have lost it,
+	// reportFailed when its append failed.
+	lastReport   string
+	checkReport  bool
+	reportFailed bool
 	// lastReportInterval is the number of report intervals that had passed in the
 	// state at the latest check.
 	lastReportInterval int64
