Take an incarnation after that of a former life

Cause: an incarnation is the wall clock's time of the start. A daemon that restarts with an earlier clock has a lower one than its former life, whose entry the others keep; they ignore the lower one, so the daemon is no member to them until the dead entry expires after 10 minutes. Change: an entry daemon that hears of itself at its own address with a later incarnation takes the one after it. The prober sends the incarnation of the moment. An entry at another address changes nothing: two daemons of one name would outdo each other without end. A daemon of quetzalgrade serve does not, because its bills and grants carry its incarnation; the fault remains there. Tests: without the change TestEarlierIncarnationReplacesLaterOne failed in 7 of 7 rows, TestIncarnationsThatAreNotTaken in 2 of 7, and TestDaemonRestartsWithEarlierClock (three of four daemons counted 3 members, not 4, 10 s after the restart). All pass, the last one in 20 of 20 runs.

--- a/internal/gossiper/gossiper.go
+++ b/internal/gossiper/gossiper.go
@@ -113,6 +113,8 @@
 	probeQueue []string
 	// newestRevision is the newest configuration revision known here.
 	newestRevision uint64
+	// takesLater is set if this daemon takes an incarnation after that of a former life.
+	takesLater bool
 }
 
 // New returns the membership of a daemon that has no other members yet.
@@ -129,6 +131,11 @@
 	return m
 }
 
+// TakeLaterIncarnations makes this daemon take a later incarnation when it hears that a former life
+// of it had a later one, as after a restart with an earlier wall clock. A daemon whose incarnation
+// also names other things, such as its bills, must not take another one.
+func (m *Membership) TakeLaterIncarnations() { m.takesLater = true }
+
 // Self returns this daemon's own entry.
 func (m *Membership) Self() Member { return m.self }
 
--- a/internal/gossiper/gossiper_test.go
+++ b/internal/gossiper/gossiper_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"net/netip"
 	"testing"
@@ -15,15 +16,17 @@
 // directly.
 type cluster struct {
 	memberships map[string]*gossiper.Membership
-	names       []string
-	random      *rand.Rand
-	now         time.Time
+	// former holds the entries of daemons that were killed.
+	former map[string]gossiper.Member
+	names  []string
+	random *rand.Rand
+	now    time.Time
 	// partitioned reports whether two members cannot reach each other.
 	partitioned func(a, b string) bool
 }
 
 func newCluster(size int) *cluster {
-	c := &cluster{memberships: map[string]*gossiper.Membership{}, random: rand.New(rand.NewPCG(1, 2)), now: time.Unix(1_800_000_000, 0), partitioned: func(string, string) bool { return false }}
+	c := &cluster{memberships: map[string]*gossiper.Membership{}, former: map[string]gossiper.Member{}, random: rand.New(rand.NewPCG(1, 2)), now: time.Unix(1_800_000_000, 0), partitioned: func(string, string) bool { return false }}
 	for i := range size {
 		c.add(fmt.Sprintf("m%03d", i), 1)
 	}
@@ -233,6 +236,110 @@
 	}
 }
 
+// restart starts a daemon with an incarnation at the address of its former life. The daemon joins
+// through another one, or knows none until another one probes it.
+func (c *cluster) restart(name string, incarnation uint64, joins bool) {
+	self := c.former[name]
+	membership := gossiper.New(gossiper.Member{Name: name, Zone: self.Zone, Address: self.Address, Incarnation: incarnation})
+	membership.TakeLaterIncarnations()
+	c.memberships[name] = membership
+	if joins {
+		seed := c.memberships[c.names[0]]
+		seed.Receive(membership.RumoursFor(c.names[0], false, c.now), c.now)
+		membership.Receive(seed.RumoursFor(name, true, c.now), c.now)
+	}
+}
+
+// kill ends a daemon.
+func (c *cluster) kill(name string) {
+	c.former[name] = c.memberships[name].Self()
+	c.memberships[name] = nil
+}
+
+// Guards against a restarted daemon that is no member to the others for ten minutes, because its
+// wall clock is behind that of its former life, whose incarnation is then the later one.
+func TestEarlierIncarnationReplacesLaterOne(t *testing.T) {
+	const restarted = "m002"
+	rows := map[string]struct {
+		// down are the rounds between the end and the restart.
+		down          int
+		leaves, joins bool
+	}{
+		"restarted at once":             {0, false, true},
+		"restarted at once, not joined": {0, false, false},
+		"suspected":                     {3, false, true},
+		"dead":                          {detectionRounds, false, true},
+		"dead, not joined":              {detectionRounds, false, false},
+		"leaving":                       {2, true, true},
+		"leaving, not joined":           {2, true, false},
+	}
+	for name, row := range rows {
+		t.Run(name, func(t *testing.T) {
+			c := newCluster(5)
+			c.roundsUntil(joinRounds, func(_ string, m *gossiper.Membership) bool { return serving(m) == 5 })
+			c.kill(restarted)
+			c.restart(restarted, 1000, true)
+			c.roundsUntil(joinRounds, func(_ string, m *gossiper.Membership) bool { return serving(m) == 5 })
+			if row.leaves {
+				c.memberships[restarted].AnnounceDraining()
+				c.exchange(restarted, "m000")
+			}
+			c.kill(restarted)
+			for range row.down {
+				c.round()
+			}
+			c.restart(restarted, 500, row.joins)
+			got := c.roundsUntil(4*joinRounds, func(at string, m *gossiper.Membership) bool {
+				member, _ := m.Member(restarted)
+				return serving(m) == 5 && (at == restarted || member.Incarnation == c.memberships[restarted].Self().Incarnation)
+			})
+			if got == 4*joinRounds {
+				t.Errorf("rounds until every member knew the restarted daemon got %d or more, want fewer", got)
+			}
+			for range detectionRounds {
+				c.round()
+			}
+			for at, m := range c.memberships {
+				if got := serving(m); got != 5 {
+					t.Errorf("members at %s %d rounds later got %d, want 5", at, detectionRounds, got)
+				}
+			}
+		})
+	}
+}
+
+// Guards against two daemons of one name that each take a later incarnation than the other's
+// without end, and against an incarnation that is not this daemon's own to take.
+func TestIncarnationsThatAreNotTaken(t *testing.T) {
+	at := netip.MustParseAddrPort("10.0.0.1:1")
+	self := gossiper.Member{Name: "m000", Zone: "z", Address: at, Incarnation: 500}
+	rows := map[string]struct {
+		takes    bool
+		received *schema.Member
+		want     uint64
+	}{
+		"later":                 {true, &schema.Member{Name: "m000", Address: at.String(), Incarnation: 1000, Status: schema.Status_STATUS_DEAD}, 1001},
+		"later and alive":       {true, &schema.Member{Name: "m000", Address: at.String(), Incarnation: 1000, Status: schema.Status_STATUS_ALIVE}, 1001},
+		"earlier":               {true, &schema.Member{Name: "m000", Address: at.String(), Incarnation: 400, Status: schema.Status_STATUS_DEAD}, 500},
+		"its own":               {true, &schema.Member{Name: "m000", Address: at.String(), Incarnation: 500, Status: schema.Status_STATUS_DEAD}, 500},
+		"at another address":    {true, &schema.Member{Name: "m000", Address: "10.0.0.2:1", Incarnation: 1000, Status: schema.Status_STATUS_ALIVE}, 500},
+		"the last one":          {true, &schema.Member{Name: "m000", Address: at.String(), Incarnation: math.MaxUint64, Status: schema.Status_STATUS_DEAD}, 500},
+		"named by other things": {false, &schema.Member{Name: "m000", Address: at.String(), Incarnation: 1000, Status: schema.Status_STATUS_DEAD}, 500},
+	}
+	for name, row := range rows {
+		t.Run(name, func(t *testing.T) {
+			m := gossiper.New(self)
+			if row.takes {
+				m.TakeLaterIncarnations()
+			}
+			m.Receive(&schema.Rumours{Members: []*schema.Member{row.received}}, time.Unix(1_800_000_000, 0))
+			if got := m.Self().Incarnation; got != row.want {
+				t.Errorf("incarnation got %d, want %d", got, row.want)
+			}
+		})
+	}
+}
+
 // Guards against the entries of all members in the messages of all others after each of them has
 // reported the same revision, which grow with the square of their number.
 func TestRevisionAddsFewRumours(t *testing.T) {
--- a/internal/gossiper/rumours.go
+++ b/internal/gossiper/rumours.go
@@ -106,9 +106,15 @@
 }
 
 // refute responds to a rumour with a wrong status of this daemon by announcing
-// the daemon with a higher sequence. It ignores a rumour about another incarnation
+// the daemon with a higher sequence, and to one about a later incarnation of a former life
+// with an incarnation after that. It ignores a rumour about any other incarnation
 // under the same name. It always returns false, because no other member changes.
 func (m *Membership) refute(received *schema.Member) bool {
+	if m.takesLater && m.isFormerLife(received) {
+		m.self.Incarnation = received.GetIncarnation() + 1
+		m.announceSelf()
+		return false
+	}
 	if received.GetIncarnation() != m.self.Incarnation || received.GetStatus() == m.self.Status {
 		return false
 	}
@@ -119,6 +125,14 @@
 	return false
 }
 
+// isFormerLife reports whether a rumour is about a former life of this daemon with a later
+// incarnation. One at another address may be alive: if both took later incarnations, they would
+// do so without end.
+func (m *Membership) isFormerLife(received *schema.Member) bool {
+	isLater := received.GetIncarnation() > m.self.Incarnation && received.GetIncarnation() < math.MaxUint64
+	return isLater && received.GetAddress() == m.self.Address.String()
+}
+
 // supersedes reports whether a rumour about a member is newer than the known
 // entry: the later incarnation wins, then the later sequence, then the worse
 // status.
--- a/internal/prober/prober.go
+++ b/internal/prober/prober.go
@@ -12,6 +12,7 @@
 
 	"connectrpc.com/connect"
 	"github.com/go-faster/errors"
+	"google.golang.org/protobuf/proto"
 
 	"quetzalgrade.example/quetzalgrade/internal/gossiper"
 	"quetzalgrade.example/quetzalgrade/pkg/schema"
@@ -52,7 +53,8 @@
 // Options configure a prober.
 type Options struct {
 	Members Members
-	// Self is this daemon as it introduces itself.
+	// Self is this daemon as it introduces itself. It may take a later incarnation while
+	// it runs.
 	Self *schema.Sender
 	// Connect returns the client of the daemon at an address.
 	Connect func(address netip.AddrPort) Client
@@ -148,15 +150,19 @@
 // probe is Probe with the choice whether the member compares digests. While a rumour
 // spreads they differ almost everywhere, and to respond with everything would be much work.
 func (p *Prober) probe(ctx context.Context, target gossiper.Member, join, compare bool) error {
+	var self *schema.Sender
 	var rumours *schema.Rumours
-	err := p.Members.Do(ctx, func(state *gossiper.Membership) { rumours = state.RumoursFor(target.Name, false, time.Now()) })
+	err := p.Members.Do(ctx, func(state *gossiper.Membership) {
+		self = p.sender(state)
+		rumours = state.RumoursFor(target.Name, false, time.Now())
+	})
 	if err != nil {
 		return err
 	}
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
 	response, err := p.Connect(target.Address).Probe(ctx, connect.NewRequest(&schema.ProbeRequest{
-		Sender:  p.Self,
+		Sender:  self,
 		Rumours: rumours,
 		Join:    join,
 		Compare: compare,
@@ -186,6 +192,13 @@
 	return changes
 }
 
+// sender returns this daemon as it introduces itself, with its present incarnation.
+func (p *Prober) sender(state *gossiper.Membership) *schema.Sender {
+	self := proto.CloneOf(p.Self)
+	self.Incarnation = state.Self().Incarnation
+	return self
+}
+
 // probeIndirectly asks another member to probe the target. It reports whether
 // that member reached the target.
 func (p *Prober) probeIndirectly(ctx context.Context, helper gossiper.Member, target string) bool {
@@ -205,6 +218,7 @@
 	}
 	err := p.Members.Do(ctx, func(state *gossiper.Membership) {
 		changes := p.receive(state, request.GetSender(), request.GetRumours())
+		response.Sender = p.sender(state)
 		response.Rumours = state.RumoursFor(request.GetSender().GetName(), request.GetJoin() || request.GetCompare() && changes.MembersDiffer, time.Now())
 		if request.GetCompare() && changes.FactsDiffer {
 			response.Rumours.Facts = state.FactMessages(time.Now())
--- a/internal/runner/peers.go
+++ b/internal/runner/peers.go
@@ -100,10 +100,12 @@
 	transport.IdleConnTimeout = peerIdleTimeout
 	incarnation := uint64(time.Now().UnixNano())
 	self := gossiper.Member{Name: settings.Name, Zone: settings.Zone, Address: settings.RelayAddress, Incarnation: incarnation}
+	membership := gossiper.New(self)
+	membership.TakeLaterIncarnations()
 	p := &peers{
 		name:    settings.Name,
 		logger:  r.logger,
-		members: keeper.New(r.system, gossiper.New(self), newMemberSnapshot),
+		members: keeper.New(r.system, membership, newMemberSnapshot),
 		client:  &http.Client{Transport: transport},
 		clients: map[netip.AddrPort]schemaconnect.PeerServiceClient{},
 	}
