Forget the health of a worker that is no longer declared

Change: a new catalog discards the health of these endpoints. Tests: TestEjectionAfterEndpointsAreRemoved failed in 3 of 3 rows before (2 ejections, 3 wanted) and passes.

--- a/internal/watcher/watcher.go
+++ b/internal/watcher/watcher.go
@@ -61,6 +61,7 @@
 func (w *Watcher) Configure(catalog *compiler.Catalog) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	w.forgetHealth(catalog)
 	w.catalog = catalog
 	for address, worker := range catalog.Workers {
 		endpoint := w.endpoints[address]
@@ -77,6 +78,17 @@
 	}
 }
 
+// forgetHealth discards the health of the endpoints that are not in the same service of a new
+// catalog, which would count in the ejections of the others.
+func (w *Watcher) forgetHealth(catalog *compiler.Catalog) {
+	for address, endpoint := range w.endpoints {
+		next := catalog.Workers[address]
+		if next == nil || next.Service != endpoint.worker.Service {
+			w.serviceHealth(endpoint.worker.Service).Forget(address)
+		}
+	}
+}
+
 // SetDraining replaces the set of endpoints that are draining.
 func (w *Watcher) SetDraining(draining compiler.Set[netip.AddrPort]) {
 	w.mu.Lock()
