Ignore results of workers that are no longer declared

Cause: the watcher of quetzalgrade serve keeps a removed endpoint while it has requests in flight. At their end it looked up the endpoint's service in the catalog for the cap on ejections, which is a nil dereference if the service was removed with it, and otherwise made the health of the removed endpoint anew. Change: a result counts only for an endpoint in the catalog; the three places share one function. Tests: TestResultsOfRemovedEndpoint failed in 7 of 8 rows before (5 panics, 2 ejections of the removed endpoint) and passes, also with the race detector. That a daemon met the panic was not seen.

--- a/internal/watcher/watcher.go
+++ b/internal/watcher/watcher.go
@@ -186,17 +186,30 @@
 		return
 	}
 	endpoint.inFlight--
-	if result.Neutral || endpoint.worker == nil {
+	if result.Neutral {
 		return
 	}
-	health := w.serviceHealth(endpoint.worker.Service)
-	if result.Failed {
-		health.RecordFailure(address, time.Now())
-	} else {
-		health.RecordSuccess(address, result.DecodePace, time.Now())
-		health.ReduceNextEjection(address, time.Now())
+	w.record(address, func(health *picker.Health, now time.Time) {
+		if result.Failed {
+			health.RecordFailure(address, now)
+			return
+		}
+		health.RecordSuccess(address, result.DecodePace, now)
+		health.ReduceNextEjection(address, now)
+	})
+}
+
+// record records a result of an endpoint, and ejects the endpoint if it is unhealthy. It ignores one
+// that is no longer in the catalog, perhaps with its service.
+func (w *Watcher) record(address netip.AddrPort, apply func(health *picker.Health, now time.Time)) {
+	if w.catalog == nil || w.catalog.Workers[address] == nil {
+		return
 	}
-	if health.EjectIfUnhealthy(address, len(w.catalog.Services[endpoint.worker.Service].Workers), time.Now()) {
+	service := w.catalog.Workers[address].Service
+	health := w.serviceHealth(service)
+	now := time.Now()
+	apply(health, now)
+	if health.EjectIfUnhealthy(address, len(w.catalog.Services[service].Workers), now) {
 		w.ejections++
 	}
 }
@@ -207,14 +220,8 @@
 func (w *Watcher) RecordProgress(address netip.AddrPort, decodePace time.Duration) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	endpoint := w.endpoints[address]
-	if endpoint == nil || endpoint.worker == nil || decodePace <= 0 {
-		return
-	}
-	health := w.serviceHealth(endpoint.worker.Service)
-	health.RecordProgress(address, decodePace, time.Now())
-	if health.EjectIfUnhealthy(address, len(w.catalog.Services[endpoint.worker.Service].Workers), time.Now()) {
-		w.ejections++
+	if decodePace > 0 {
+		w.record(address, func(health *picker.Health, now time.Time) { health.RecordProgress(address, decodePace, now) })
 	}
 }
 
@@ -243,15 +250,7 @@
 func (w *Watcher) RecordProbeFailure(address netip.AddrPort) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	endpoint := w.endpoints[address]
-	if endpoint == nil || endpoint.worker == nil {
-		return
-	}
-	health := w.serviceHealth(endpoint.worker.Service)
-	health.RecordFailure(address, time.Now())
-	if health.EjectIfUnhealthy(address, len(w.catalog.Services[endpoint.worker.Service].Workers), time.Now()) {
-		w.ejections++
-	}
+	w.record(address, func(health *picker.Health, now time.Time) { health.RecordFailure(address, now) })
 }
 
 // RecordLoadReport records the load report of an endpoint. Load that exceeds
--- a/internal/watcher/watcher_test.go
+++ b/internal/watcher/watcher_test.go
@@ -3,6 +3,7 @@
 import (
 	"net/netip"
 	"testing"
+	"time"
 
 	"quetzalgrade.example/quetzalgrade/internal/compiler"
 	"quetzalgrade.example/quetzalgrade/internal/watcher"
@@ -75,3 +76,39 @@
 		})
 	}
 }
+
+// TestResultsOfRemovedEndpoint guards against a panic at the end of a request whose endpoint has been
+// removed with its service meanwhile, and against results of a removed endpoint that count in the
+// ejections of the others.
+func TestResultsOfRemovedEndpoint(t *testing.T) {
+	at := addressesOf(6)
+	rows := map[string]struct {
+		next   *compiler.Catalog
+		record func(w *watcher.Watcher)
+	}{
+		"failure":                 {catalogOf("helper", at[1:]...), func(w *watcher.Watcher) { w.End(at[0], watcher.Result{Failed: true}) }},
+		"failure, no service":     {catalogOf("ledger", at[1:]...), func(w *watcher.Watcher) { w.End(at[0], watcher.Result{Failed: true}) }},
+		"success, no service":     {catalogOf("ledger", at[1:]...), func(w *watcher.Watcher) { w.End(at[0], watcher.Result{DecodePace: time.Second}) }},
+		"pace":                    {catalogOf("helper", at[1:]...), func(w *watcher.Watcher) { w.RecordProgress(at[0], time.Second) }},
+		"pace, no service":        {catalogOf("ledger", at[1:]...), func(w *watcher.Watcher) { w.RecordProgress(at[0], time.Second) }},
+		"probe":                   {catalogOf("helper", at[1:]...), func(w *watcher.Watcher) { w.RecordProbeFailure(at[0]) }},
+		"probe, no service":       {catalogOf("ledger", at[1:]...), func(w *watcher.Watcher) { w.RecordProbeFailure(at[0]) }},
+		"failure, nothing listed": {catalogOf("ledger"), func(w *watcher.Watcher) { w.End(at[0], watcher.Result{Failed: true}) }},
+	}
+	for name, row := range rows {
+		t.Run(name, func(t *testing.T) {
+			w := watcher.New()
+			w.Configure(catalogOf("helper", at...))
+			for range 8 {
+				w.Begin(at[0])
+			}
+			w.Configure(row.next)
+			for range 8 {
+				row.record(w)
+			}
+			if got := w.Ejections(); got != 0 {
+				t.Errorf("ejections got %d, want 0", got)
+			}
+		})
+	}
+}
