Log a digest of the request on attempts that broke

The log named the route and the account of a request whose endpoint ended, not what was asked for, so it could not tell whether one request came again and again or endpoints ended by themselves. The digest covers method, host, path and query, client account and body, and is computed for such lines only.

--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -344,7 +344,7 @@
 	if failure.Stage == exchanger.Sent && !failure.Unreachable() {
 		c.checkCrash(ctx, choice, false)
 	}
-	c.log("attempt got no response", c.endpointFields(choice, "error", failure.Err, "sent", failure.Stage == exchanger.Sent)...)
+	c.log("attempt got no response", c.brokenFields(choice, "error", failure.Err, "sent", failure.Stage == exchanger.Sent)...)
 	kind := classifier.EndpointFailed
 	if status == statusNotExecuted {
 		kind = classifier.NoEndpoint
@@ -388,6 +388,11 @@
 		"parts", formatParts(c.sharedParts()), "limit", c.rateLimit.String(), "slowdown", choice.Slowdown, "gap", noter.FormatDuration(choice.ExpectedGap()))
 }
 
+// brokenFields appends the log fields of an attempt that broke at an endpoint to args.
+func (c *call) brokenFields(choice *tracker.Choice, args ...any) []any {
+	return c.endpointFields(choice, append(args, "digest", formatDigest(c.contentDigest()))...)
+}
+
 // formatParts returns the ids of parts as in the request's header, separated by
 // commas.
 func formatParts(parts []PromptPart) string {
--- a/internal/forwarder/crash.go
+++ b/internal/forwarder/crash.go
@@ -44,7 +44,7 @@
 	if !c.ControlPlane.EndpointCrashed(choice.Registration, parts, begun) {
 		c.mayCrash = true
 	}
-	c.log("endpoint crashed while it had the request", c.endpointFields(choice, "begun", begun, "repeatable", !c.mayCrash)...)
+	c.log("endpoint crashed while it had the request", c.brokenFields(choice, "begun", begun, "repeatable", !c.mayCrash)...)
 }
 
 // recordServed records that the response, which began at the time, has more than begun.
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -172,6 +172,8 @@
 	route   *matcher.Route
 	account *matcher.Account
 	body    []byte
+	// digest is the result of contentDigest, or 0 before its first call.
+	digest uint64
 	// memory is what the request and its response hold of that memory, but for what is read
 	// on for a slow client.
 	memory  *reserver.Reservation
--- a/internal/forwarder/stream.go
+++ b/internal/forwarder/stream.go
@@ -127,7 +127,7 @@
 	if events.count <= maxCrashEvents {
 		c.checkCrash(ctx, choice, true)
 	}
-	c.log("endpoint's stream is truncated, aborted or corrupt", c.endpointFields(choice, "error", err, "events", events.count, "after", c.lastEventID)...)
+	c.log("endpoint's stream is truncated, aborted or corrupt", c.brokenFields(choice, "error", err, "events", events.count, "after", c.lastEventID)...)
 	c.Counters.Resumes.Inc()
 	return brokenStatus(events), nil, classifier.Wrap(classifier.EndpointFailed, err, "the stream of endpoint %s is truncated, aborted or corrupt", choice.ID)
 }
--- a/internal/forwarder/whole.go
+++ b/internal/forwarder/whole.go
@@ -127,7 +127,7 @@
 	if !c.responseStarted {
 		c.checkCrash(ctx, choice, true)
 	}
-	c.log("response is truncated or corrupt", c.endpointFields(choice, "error", err, "status", response.Status)...)
+	c.log("response is truncated or corrupt", c.brokenFields(choice, "error", err, "status", response.Status)...)
 	return classifier.Wrap(classifier.EndpointFailed, err, "the response of endpoint %s is truncated or corrupt", choice.ID)
 }
 
