Quarantine a request that comes again and crashes endpoints

Cause: daemons tie a crash to shared parts of a prompt only. A look-up, a booking and the last part of a prompt have no identity, so each daemon takes the crash for a fault of the endpoint, each time.

Change: quarantiner also knows a request as a whole, by a digest of method, host, path and query, account and body, which is computed only after an attempt broke or while such a request is remembered. Three crashes without a response in between quarantine it on all daemons, through the facts that parts use (PartCrash and PartSound with whole set); it is refused at once with request_quarantined, 503. At most two trials, reported as facts before they are sent, and none after one that crashes an endpoint.

--- a/internal/classifier/classifier.go
+++ b/internal/classifier/classifier.go
@@ -30,6 +30,7 @@
 	VersionWithdrawn       Kind = "version_withdrawn"
 	NoEndpoint             Kind = "no_endpoint"
 	PromptQuarantined      Kind = "prompt_quarantined"
+	RequestQuarantined     Kind = "request_quarantined"
 	MemoryFull             Kind = "memory_full"
 	ClaimsUnavailable      Kind = "claims_unavailable"
 	BillsFull              Kind = "bills_full"
@@ -105,6 +106,7 @@
 	VersionWithdrawn:       {http.StatusGone, connect.CodeFailedPrecondition, NotExecuted, false, "the conversation's version was withdrawn; start a new conversation"},
 	NoEndpoint:             {http.StatusServiceUnavailable, connect.CodeUnavailable, NotExecuted, true, "no endpoint accepted the request"},
 	PromptQuarantined:      {http.StatusServiceUnavailable, connect.CodeUnavailable, NotExecuted, true, "requests with a part of this prompt crash endpoints; wait for Retry-After, then send again"},
+	RequestQuarantined:     {http.StatusServiceUnavailable, connect.CodeUnavailable, NotExecuted, true, "this request crashes endpoints; wait for Retry-After, then send again"},
 	MemoryFull:             {http.StatusServiceUnavailable, connect.CodeResourceExhausted, NotExecuted, true, "the instance holds too many large requests; wait for Retry-After, then send again"},
 	ClaimsUnavailable:      {http.StatusServiceUnavailable, connect.CodeUnavailable, NotExecuted, true, "the claim could not be recorded; send again with the same key"},
 	BillsFull:              {http.StatusServiceUnavailable, connect.CodeUnavailable, NotExecuted, true, "unsaved bills have reached their bound; the log is down"},
--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -64,7 +64,7 @@
 			break
 		}
 		c.retryPaid = false
-		if problem := c.checkParts(); problem != nil {
+		if problem := c.checkContent(); problem != nil {
 			last = problem
 			break
 		}
--- a/internal/forwarder/crash.go
+++ b/internal/forwarder/crash.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"time"
 
 	"quetzalgrade.example/quetzalgrade/internal/classifier"
@@ -18,30 +19,35 @@
 	return c.PromptParts[:max(0, len(c.PromptParts)-1)]
 }
 
-// checkParts returns an error if the request must not be sent to an endpoint because a
-// part of its prompt crashes endpoints.
-func (c *call) checkParts() *classifier.Error {
-	parts := c.sharedParts()
-	if len(parts) == 0 {
-		return nil
-	}
-	retryAfter, blocked := c.ControlPlane.CheckParts(parts)
-	if !blocked {
+// content returns what the request may crash endpoints with.
+func (c *call) content() Content {
+	return Content{Parts: c.sharedParts(), Digest: c.contentDigest}
+}
+
+// checkContent returns an error if the request must not be sent to an endpoint because it, or a
+// part of its prompt, crashes endpoints.
+func (c *call) checkContent() *classifier.Error {
+	verdict := c.ControlPlane.CheckContent(c.content())
+	c.onTrial = verdict.Trial
+	switch {
+	case !verdict.Blocked:
 		return nil
+	case verdict.Whole:
+		return classifier.New(classifier.RequestQuarantined, "the request, of digest %s, crashes endpoints", formatDigest(c.contentDigest())).WithRetryAfter(verdict.RetryAfter)
+	default:
+		return classifier.New(classifier.PromptQuarantined, "requests with a part of the prompt crash endpoints").WithRetryAfter(verdict.RetryAfter)
 	}
-	return classifier.New(classifier.PromptQuarantined, "requests with a part of the prompt crash endpoints").WithRetryAfter(retryAfter)
 }
 
 // checkCrash finds out whether an endpoint that closed the connection before the response
 // had more than begun has crashed, and records it. An endpoint that crashed refuses
 // connections. Begun says whether the response had begun at all.
 func (c *call) checkCrash(ctx context.Context, choice *tracker.Choice, begun bool) {
-	parts := c.sharedParts()
-	if len(parts) == 0 || ctx.Err() != nil || !c.Exchanger.Refuses(ctx, choice.Address) {
+	if ctx.Err() != nil || !c.Exchanger.Refuses(ctx, choice.Address) {
 		return
 	}
 	c.Counters.Crashes.Inc()
-	if !c.ControlPlane.EndpointCrashed(choice.Registration, parts, begun) {
+	if !c.ControlPlane.EndpointCrashed(choice.Registration, c.content(), begun) {
 		c.mayCrash = true
 	}
 	c.log("endpoint crashed while it had the request", c.brokenFields(choice, "begun", begun, "repeatable", !c.mayCrash)...)
@@ -49,7 +55,12 @@
 
 // recordServed records that the response, which began at the time, has more than begun.
 func (c *call) recordServed(began time.Time) {
-	if parts := c.sharedParts(); len(parts) > 0 {
-		c.ControlPlane.PartsServed(parts, began)
+	c.ControlPlane.ContentServed(c.content(), began, false)
+}
+
+// recordWhole records a whole response with a status.
+func (c *call) recordWhole(status int) {
+	if status < http.StatusInternalServerError {
+		c.ControlPlane.ContentServed(c.content(), time.Now(), status >= http.StatusMultipleChoices)
 	}
 }
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -49,17 +49,17 @@
 	SelectVersion(query VersionQuery) VersionConstraint
 	// RecordResult records the result of an attempt as evidence about its version.
 	RecordResult(result Result)
-	// CheckParts returns when a client may send a request with the parts again, and
-	// false if it may be sent now.
-	CheckParts(parts []PromptPart) (retryAfter time.Duration, blocked bool)
-	// PartsServed records that an endpoint wrote more than the beginning of a response to
-	// a request with the parts. The response began at the time.
-	PartsServed(parts []PromptPart, began time.Time)
+	// CheckContent returns whether a request with the content may be sent to an endpoint.
+	CheckContent(content Content) ContentVerdict
+	// ContentServed records that an endpoint wrote more than the beginning of a response to
+	// a request with the content. The response began at the time. If it failed, it shows no
+	// more than that the endpoint did not crash.
+	ContentServed(content Content, began time.Time, failed bool)
 	// EndpointCrashed records that an endpoint crashed while it had a request with the
-	// parts, and had written no more than the beginning of the response. Begun says
+	// content, and had written no more than the beginning of the response. Begun says
 	// whether it had begun to respond. The result is whether the request may be sent to
 	// another endpoint.
-	EndpointCrashed(endpoint tracker.Registration, parts []PromptPart, begun bool) (repeatable bool)
+	EndpointCrashed(endpoint tracker.Registration, content Content, begun bool) (repeatable bool)
 	// RecordRateLimit records what the response to a request, which was sent at a time,
 	// says of the endpoint's limit.
 	RecordRateLimit(endpoint tracker.Registration, limit RateLimit, sentAt time.Time)
@@ -71,6 +71,25 @@
 	RequestEnded(session string)
 }
 
+// Content is what a request may crash endpoints with.
+type Content struct {
+	// Parts are the parts of the prompt that the request may share with others.
+	Parts []PromptPart
+	// Digest returns a digest of the request as a whole, which it computes if need be.
+	Digest func() uint64
+}
+
+// ContentVerdict says whether a request may be sent to an endpoint.
+type ContentVerdict struct {
+	// Blocked is set if it must not be, Whole if that is because of the request as a whole and
+	// not of a part of the prompt. RetryAfter is when the client may try again.
+	Blocked    bool
+	Whole      bool
+	RetryAfter time.Duration
+	// Trial is set if the request is sent to see whether it still crashes endpoints.
+	Trial bool
+}
+
 // VersionQuery holds what the version of a request depends on.
 type VersionQuery struct {
 	Service string
@@ -207,6 +226,8 @@
 	ttft time.Duration
 	// rateLimit is what the latest response said of the endpoint's limit.
 	rateLimit RateLimit
+	// onTrial is set if the request is sent to see whether it still crashes endpoints.
+	onTrial bool
 	// mayCrash is set if the request may have crashed an endpoint, so that it must not be
 	// sent to another one.
 	mayCrash bool
--- a/internal/forwarder/session_test.go
+++ b/internal/forwarder/session_test.go
@@ -24,6 +24,8 @@
 
 func (r *versionRecorder) View() View { return View{} }
 
+func (r *versionRecorder) CheckContent(Content) ContentVerdict { return ContentVerdict{} }
+
 // TestTakenBackRequestKeepsItsSession guards against sessions that are moved off a new version because
 // its endpoints have long queues, and against failures of a version that are met again there.
 func TestTakenBackRequestKeepsItsSession(t *testing.T) {
--- a/internal/forwarder/whole.go
+++ b/internal/forwarder/whole.go
@@ -4,7 +4,6 @@
 	"context"
 	"io"
 	"net/http"
-	"time"
 
 	"github.com/go-faster/errors"
 
@@ -67,9 +66,7 @@
 		return statusFailed, got, classifier.New(classifier.EndpointFailed, "endpoint %s failed with status %d", choice.ID, response.Status)
 	}
 	c.recordResult(choice, Completed, c.ttft, 0)
-	if response.Status < http.StatusMultipleChoices {
-		c.recordServed(time.Now())
-	}
+	c.recordWhole(response.Status)
 	choice.End(tracker.Success, 0)
 	response.Close()
 	c.writeResponse(got)
@@ -158,6 +155,7 @@
 		return statusAborted, nil, c.handleBadResponse(ctx, choice, response, err)
 	}
 	c.recordResult(choice, Completed, c.ttft, 0)
+	c.recordWhole(response.Status)
 	choice.End(tracker.Success, 0)
 	c.countServed()
 	c.log("long response served", c.endpointFields(choice, "status", response.Status, "bytes", total)...)
--- a/internal/gossiper/facts.go
+++ b/internal/gossiper/facts.go
@@ -30,9 +30,11 @@
 		if about.Crash.GetBegun() {
 			key += "/begun"
 		}
-		return key
+		return key + wholeSuffix(about.Crash.GetWhole())
 	case *schema.Fact_Sound:
-		return "sound/" + strconv.FormatUint(about.Sound.GetPart(), 16)
+		return "sound/" + strconv.FormatUint(about.Sound.GetPart(), 16) + wholeSuffix(about.Sound.GetWhole())
+	case *schema.Fact_Trial:
+		return "trial/" + strconv.FormatUint(about.Trial.GetRequest(), 16) + "/" + about.Trial.GetDaemon()
 	case *schema.Fact_Limit:
 		return "limit/" + about.Limit.GetEndpoint() + "/" + strconv.FormatInt(about.Limit.GetStartedMs(), 10)
 	case *schema.Fact_Cold:
@@ -42,6 +44,14 @@
 	}
 }
 
+// wholeSuffix tells the digest of a whole request from the id of a part, which a client chooses.
+func wholeSuffix(whole bool) string {
+	if whole {
+		return "/whole"
+	}
+	return ""
+}
+
 // expired reports whether the fact no longer holds.
 func (f Fact) expired(now time.Time) bool {
 	return now.Sub(f.ObservedAt) >= f.Message.GetLifetime().AsDuration()
--- a/internal/quarantiner/quarantiner.go
+++ b/internal/quarantiner/quarantiner.go
@@ -1,12 +1,15 @@
-// Package quarantiner finds the parts of prompts that crash endpoints, from the crashes
-// that all daemons report, and says which requests must not be sent. It does no I/O:
-// times are arguments, and what other daemons must learn is returned.
+// Package quarantiner finds the requests and the parts of prompts that crash endpoints, from
+// the crashes that all daemons report, and says which requests must not be sent. It does no
+// I/O: times are arguments, and what other daemons must learn is returned.
 //
 // An endpoint that crashes takes many requests with it. Only those whose response had no
 // more than begun may have caused the crash, and rather those whose response had begun. Of
 // their parts, the one that caused it is in many crashes and in no served request. A part
 // before it in the prompt is in as many crashes where requests with it are rare, so of
 // several parts that explain the same crashes the last one in the prompt is taken.
+//
+// A request as a whole may come again, under another id. It is taken for the cause of its
+// crashes unless it was served in between, and its parts are not if it explains all of theirs.
 package quarantiner
 
 import (
@@ -40,8 +43,8 @@
 	soundInterval = 500 * time.Millisecond
 )
 
-// Quarantine holds the parts that are suspected or quarantined. It is safe for concurrent
-// use.
+// Quarantine holds the parts and the requests that are suspected or quarantined. It is safe for
+// concurrent use.
 type Quarantine struct {
 	mu       sync.Mutex
 	suspects map[uint64]*suspect
@@ -55,12 +58,19 @@
 	// soon be.
 	quarantined int
 	pending     int
-	onChange    func(Change)
+	// requests holds the requests that were at a crashed endpoint by digest, soundRequests when
+	// the last response to one began that another daemon has reported.
+	requests            map[uint64]*request
+	soundRequests       map[uint64]time.Time
+	quarantinedRequests int
+	onChange            func(Change)
 }
 
-// Change says that a part is quarantined, or no longer is.
+// Change says that a part, or a request as a whole, is quarantined, or no longer is.
 type Change struct {
+	// Part is the id of the part, or the digest of a whole request.
 	Part        uint64
+	Whole       bool
 	Place       int
 	Quarantined bool
 	// Crashes is the number of endpoints that crashed.
@@ -70,13 +80,25 @@
 // New returns a quarantine without parts. It calls onChange, which must not call it, with
 // each change.
 func New(onChange func(Change)) *Quarantine {
-	return &Quarantine{suspects: map[uint64]*suspect{}, crashed: map[string]time.Time{}, served: map[uint64]time.Time{}, sound: map[uint64]time.Time{}, onChange: onChange}
+	return &Quarantine{
+		suspects:      map[uint64]*suspect{},
+		crashed:       map[string]time.Time{},
+		served:        map[uint64]time.Time{},
+		sound:         map[uint64]time.Time{},
+		requests:      map[uint64]*request{},
+		soundRequests: map[uint64]time.Time{},
+		onChange:      onChange,
+	}
 }
 
 // Crash says that an endpoint crashed while it had a request with a part, and had written
 // no more than the beginning of the response.
 type Crash struct {
-	Part uint64
+	// Part is the id of the part, or the digest of a whole request.
+	Part  uint64
+	Whole bool
+	// Known is set if the whole request was at another crashed endpoint before.
+	Known bool
 	// Place is the place of the part in the prompt, from 0.
 	Place int
 	// Endpoint is the id and incarnation of the endpoint.
@@ -86,12 +108,17 @@
 	At    time.Time
 }
 
-// Suspects returns the crashes of the shared parts of a request that was at a crashed
-// endpoint. If one of them is quarantined, it explains the crash alone.
-func (q *Quarantine) Suspects(endpoint string, parts []uint64, begun bool, at time.Time) []Crash {
+// Suspects returns the crashes of a request that was at a crashed endpoint, as a whole and by its
+// shared parts. If it or one of them is quarantined, that explains the crash alone.
+func (q *Quarantine) Suspects(endpoint string, parts []uint64, digest uint64, begun bool, at time.Time) []Crash {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	var crashes []Crash
+	r := q.requests[digest]
+	whole := Crash{Part: digest, Whole: true, Known: r != nil && r.known > 0, Endpoint: endpoint, Begun: begun, At: at}
+	crashes := []Crash{whole}
+	if r != nil && r.quarantined {
+		return crashes
+	}
 	for place, id := range parts {
 		crash := Crash{Part: id, Place: place, Endpoint: endpoint, Begun: begun, At: at}
 		if s := q.suspects[id]; s != nil && s.quarantined {
@@ -107,6 +134,10 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	for _, crash := range crashes {
+		if crash.Whole {
+			q.recordRequestCrash(crash)
+			continue
+		}
 		if crash.At.Before(q.sound[crash.Part]) {
 			continue
 		}
@@ -163,12 +194,16 @@
 }
 
 // releaseDominated ends the quarantine of parts that were taken for the cause before there
-// were reports on the part that is.
+// were reports on the part, or the request, that is.
 func (q *Quarantine) releaseDominated() {
 	for _, s := range q.suspects {
 		if !s.quarantined {
 			continue
 		}
+		if q.isExplainedByRequest(s) {
+			q.release(s)
+			continue
+		}
 		for _, other := range q.suspects {
 			if s.isDominated(other) {
 				q.release(s)
@@ -182,7 +217,7 @@
 // part causes them.
 func (q *Quarantine) isCause(s *suspect, unexplained int, now time.Time) bool {
 	switch {
-	case unexplained < minCrashes:
+	case unexplained < minCrashes || q.isExplainedByRequest(s):
 		return false
 	case s.servedBefore:
 		return unexplained >= minCrashesIfDoubtful && now.Sub(s.firstCrash()) >= servedAgainTime
@@ -312,10 +347,14 @@
 }
 
 // MayRepeat reports whether a request with the parts, which was at a crashed endpoint, may
-// be sent to another one: none of its parts is in several crashes and otherwise unknown.
-func (q *Quarantine) MayRepeat(parts []uint64) bool {
+// be sent to another one: neither it nor one of its parts is in several crashes and otherwise
+// unknown.
+func (q *Quarantine) MayRepeat(parts []uint64, digest uint64) bool {
 	q.mu.Lock()
 	defer q.mu.Unlock()
+	if r := q.requests[digest]; r != nil && len(r.crashes) > 1 {
+		return false
+	}
 	for _, id := range parts {
 		if s := q.suspects[id]; s != nil && !s.servedBefore && len(s.crashes) > 1 {
 			return false
@@ -331,6 +370,7 @@
 	removeExpired(q.crashed, now, Lifetime)
 	removeExpired(q.sound, now, Lifetime)
 	removeExpired(q.served, now, servedWindow)
+	q.sweepRequests(now)
 	for id, s := range q.suspects {
 		for endpoint, at := range s.crashes {
 			if now.Sub(at) >= Lifetime {
@@ -356,6 +396,13 @@
 	}
 }
 
+// RequestCounts returns the numbers of suspected and of quarantined requests.
+func (q *Quarantine) RequestCounts() (suspects, quarantined int) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return len(q.requests), q.quarantinedRequests
+}
+
 // Counts returns the numbers of suspected and of quarantined parts.
 func (q *Quarantine) Counts() (suspects, quarantined int) {
 	q.mu.Lock()
--- a/internal/quarantiner/quarantiner_test.go
+++ b/internal/quarantiner/quarantiner_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"slices"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -28,6 +29,9 @@
 	waiting bool
 }
 
+// lastDigest is the digest of the latest request of these tests. Each event is of another request.
+var lastDigest atomic.Uint64
+
 // apply applies events to a quarantine.
 func apply(q *quarantiner.Quarantine, events []event) {
 	for _, e := range events {
@@ -36,7 +40,7 @@
 			q.RecordServed(e.parts, now, now)
 			continue
 		}
-		q.RecordCrashes(q.Suspects(e.endpoint, e.parts, !e.waiting, now), now)
+		q.RecordCrashes(q.Suspects(e.endpoint, e.parts, lastDigest.Add(1), !e.waiting, now), now)
 	}
 }
 
@@ -190,7 +194,7 @@
 		t.Run(name, func(t *testing.T) {
 			q := quarantiner.New(func(quarantiner.Change) {})
 			apply(q, row.events)
-			if got := q.MayRepeat(row.parts); got != row.want {
+			if got := q.MayRepeat(row.parts, 0); got != row.want {
 				t.Errorf("MayRepeat() got %v, want %v", got, row.want)
 			}
 		})
--- /dev/null
+++ b/internal/quarantiner/request.go
@@ -0,0 +1,289 @@
+package quarantiner
+
+import (
+	"maps"
+	"slices"
+	"time"
+)
+
+const (
+	// RequestLifetime is how long a request that may crash endpoints is remembered after its
+	// last crash.
+	RequestLifetime = time.Hour
+	// spreadTime is the time within which all daemons know of a crash. A request that crashes
+	// an endpoint later than that after it was proven to do so counts as a trial.
+	spreadTime = 3 * time.Second
+	// maxRequestTrials bounds the trials of a request by all daemons together. One that crashes
+	// an endpoint counts twice.
+	maxRequestTrials = 2
+	// otherTrialDelay is what a client is told to wait while another daemon may make a trial.
+	otherTrialDelay = 5 * time.Second
+	// maxRequests bounds the requests that are remembered.
+	// If there are more, the oldest one of a random sample is forgotten.
+	maxRequests = 4096
+	roomSample  = 16
+)
+
+// request is a request, known by a digest, that was at a crashed endpoint.
+type request struct {
+	digest uint64
+	// crashes holds the times of the crashes by endpoint.
+	crashes map[string]time.Time
+	// known is the number of crashes, including those that a response has cleared since.
+	known int
+	// trials holds when a daemon sent the request as a trial, by daemon.
+	trials      map[string]time.Time
+	quarantined bool
+	// soundReportedAt is when this daemon last reported that the request is sound.
+	soundReportedAt time.Time
+}
+
+func newRequest(digest uint64) *request {
+	return &request{digest: digest, crashes: map[string]time.Time{}, trials: map[string]time.Time{}}
+}
+
+// times returns the sorted times of the crashes.
+func (r *request) times() []time.Time {
+	times := make([]time.Time, 0, len(r.crashes))
+	for _, at := range r.crashes {
+		times = append(times, at)
+	}
+	slices.SortFunc(times, time.Time.Compare)
+	return times
+}
+
+// isCause reports whether the crashes show that the request causes them. Many endpoints that crash
+// at once are a fault of another kind.
+func (r *request) isCause() bool {
+	times := r.times()
+	return len(times) >= minCrashes && times[len(times)-1].Sub(times[0]) >= momentLength
+}
+
+// spentTrials returns the number of trials that count. A trial that has crashed an endpoint counts
+// twice, as a trial and as a late crash.
+func (r *request) spentTrials() int {
+	spent := len(r.trials)
+	times := r.times()
+	for _, at := range times {
+		if at.Sub(times[minCrashes-1]) > spreadTime {
+			spent++
+		}
+	}
+	return spent
+}
+
+// nextTrial returns when the next trial is due. It returns false if there is none.
+func (r *request) nextTrial() (due time.Time, ok bool) {
+	if r.spentTrials() >= maxRequestTrials {
+		return time.Time{}, false
+	}
+	last := r.lastCrash()
+	for _, at := range r.trials {
+		if at.After(last) {
+			last = at
+		}
+	}
+	return last.Add(trialDelay), true
+}
+
+// lastCrash returns the time of the last crash, or the zero time.
+func (r *request) lastCrash() time.Time {
+	var last time.Time
+	for _, at := range r.crashes {
+		if at.After(last) {
+			last = at
+		}
+	}
+	return last
+}
+
+// lifetime returns how long the crashes count. A single one proves little.
+func (r *request) lifetime() time.Duration {
+	if len(r.crashes) > 1 {
+		return RequestLifetime
+	}
+	return Lifetime
+}
+
+// Verdict says whether a request may be sent.
+type Verdict struct {
+	// Blocked is set if it must not be. RetryAfter is when the client may try again.
+	Blocked    bool
+	RetryAfter time.Duration
+	// Trial is set if it is sent to see whether it still crashes endpoints. Other daemons must
+	// learn of that before.
+	Trial bool
+}
+
+// SuspectsRequests reports whether requests are remembered that were at crashed endpoints. If not,
+// no digest is needed.
+func (q *Quarantine) SuspectsRequests() bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return len(q.requests) > 0
+}
+
+// CheckRequest returns whether a request may be sent by this daemon, which has a name. IsRanked
+// reports whether the daemon has a rank, from 0, in an order of all daemons that depends on the
+// request; the trials are made by the daemons in this order.
+func (q *Quarantine) CheckRequest(digest uint64, now time.Time, daemon string, isRanked func(rank int) bool) Verdict {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	r := q.requests[digest]
+	if r == nil || !r.quarantined {
+		return Verdict{}
+	}
+	due, hasTrial := r.nextTrial()
+	if !hasTrial {
+		due = r.lastCrash().Add(RequestLifetime)
+	}
+	if wait := due.Sub(now); !hasTrial || wait > 0 {
+		return Verdict{Blocked: true, RetryAfter: max(minRetryAfter, wait)}
+	}
+	_, hasTried := r.trials[daemon]
+	if hasTried || !isRanked(r.spentTrials()) {
+		return Verdict{Blocked: true, RetryAfter: otherTrialDelay}
+	}
+	r.trials[daemon] = now
+	return Verdict{Trial: true}
+}
+
+// RecordTrial records that a daemon has sent a request as a trial.
+func (q *Quarantine) RecordTrial(digest uint64, daemon string, at time.Time) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if at.Before(q.soundRequests[digest]) {
+		return
+	}
+	q.request(digest).trials[daemon] = at
+}
+
+// request returns the request with a digest, which it adds if it is not known.
+func (q *Quarantine) request(digest uint64) *request {
+	r := q.requests[digest]
+	if r == nil {
+		q.makeRoom()
+		r = newRequest(digest)
+		q.requests[digest] = r
+	}
+	return r
+}
+
+// makeRoom forgets a request that was at a crash long ago if there are too many.
+func (q *Quarantine) makeRoom() {
+	if len(q.requests) < maxRequests {
+		return
+	}
+	var oldest *request
+	sampled := 0
+	for _, r := range q.requests {
+		if r.quarantined {
+			continue
+		}
+		if oldest == nil || r.lastCrash().Before(oldest.lastCrash()) {
+			oldest = r
+		}
+		if sampled++; sampled == roomSample {
+			break
+		}
+	}
+	if oldest != nil {
+		delete(q.requests, oldest.digest)
+	}
+}
+
+// recordRequestCrash records that an endpoint crashed while it had a request.
+func (q *Quarantine) recordRequestCrash(crash Crash) {
+	if crash.At.Before(q.soundRequests[crash.Part]) {
+		return
+	}
+	r := q.request(crash.Part)
+	if _, known := r.crashes[crash.Endpoint]; known {
+		return
+	}
+	r.crashes[crash.Endpoint] = crash.At
+	r.known++
+	if !r.quarantined && r.isCause() {
+		r.quarantined = true
+		q.quarantinedRequests++
+		q.onChange(r.change())
+	}
+}
+
+func (r *request) change() Change {
+	return Change{Part: r.digest, Whole: true, Quarantined: r.quarantined, Crashes: len(r.crashes)}
+}
+
+// RecordRequestServed records that an endpoint wrote more than the beginning of a response to a
+// request that began at a time. It reports whether other daemons may take the request for the cause
+// of crashes.
+func (q *Quarantine) RecordRequestServed(digest uint64, began, now time.Time) (report bool) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	r := q.requests[digest]
+	if r == nil {
+		return false
+	}
+	q.markRequestSound(r, began)
+	if r.known < minCrashes-1 || now.Sub(r.soundReportedAt) < soundInterval {
+		return false
+	}
+	r.soundReportedAt = now
+	return true
+}
+
+// RecordRequestSound records that another daemon has seen a response to a request that began at a
+// time.
+func (q *Quarantine) RecordRequestSound(digest uint64, began time.Time) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if began.After(q.soundRequests[digest]) {
+		q.soundRequests[digest] = began
+	}
+	if r := q.requests[digest]; r != nil {
+		q.markRequestSound(r, began)
+	}
+}
+
+// markRequestSound drops the crashes and trials before a response began.
+func (q *Quarantine) markRequestSound(r *request, began time.Time) {
+	isBefore := func(_ string, at time.Time) bool { return at.Before(began) }
+	maps.DeleteFunc(r.crashes, isBefore)
+	maps.DeleteFunc(r.trials, isBefore)
+	if !r.isCause() {
+		q.releaseRequest(r)
+	}
+}
+
+// releaseRequest ends the quarantine of a request.
+func (q *Quarantine) releaseRequest(r *request) {
+	if r.quarantined {
+		r.quarantined = false
+		q.quarantinedRequests--
+		q.onChange(r.change())
+	}
+}
+
+// sweepRequests forgets the requests whose crashes no longer count.
+func (q *Quarantine) sweepRequests(now time.Time) {
+	removeExpired(q.soundRequests, now, RequestLifetime)
+	for digest, r := range q.requests {
+		removeExpired(r.trials, now, RequestLifetime)
+		if now.Sub(r.lastCrash()) < r.lifetime() || len(r.trials) > 0 {
+			continue
+		}
+		q.releaseRequest(r)
+		delete(q.requests, digest)
+	}
+}
+
+// isExplainedByRequest reports whether one request was at all crashes of a part, so that the request
+// as a whole may be their cause.
+func (q *Quarantine) isExplainedByRequest(s *suspect) bool {
+	for _, r := range q.requests {
+		if len(r.crashes) >= len(s.crashes) && len(s.crashes) > 0 && len(s.unexplained(asSet(r.crashes))) == 0 {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/runner/facts.go
+++ b/internal/runner/facts.go
@@ -20,10 +20,17 @@
 				Place:    int(about.Crash.GetPlace()),
 				Endpoint: about.Crash.GetEndpoint(),
 				Begun:    about.Crash.GetBegun(),
+				Whole:    about.Crash.GetWhole(),
 				At:       fact.ObservedAt,
 			})
 		case *schema.Fact_Sound:
+			if about.Sound.GetWhole() {
+				r.quarantine.RecordRequestSound(about.Sound.GetPart(), fact.ObservedAt)
+				continue
+			}
 			r.quarantine.RecordSound(about.Sound.GetPart(), fact.ObservedAt, now)
+		case *schema.Fact_Trial:
+			r.quarantine.RecordTrial(about.Trial.GetRequest(), about.Trial.GetDaemon(), fact.ObservedAt)
 		case *schema.Fact_Limit:
 			r.applyLimit(about.Limit, fact.ObservedAt)
 		case *schema.Fact_Cold:
--- a/internal/runner/listen.go
+++ b/internal/runner/listen.go
@@ -120,6 +120,8 @@
 	gauge("limited_endpoints", func() float64 { return float64(r.tracker.LimitedEndpoints()) })
 	gauge("cold_endpoints", func() float64 { return float64(r.tracker.ColdEndpoints()) })
 	gauge("suspected_parts", func() float64 { suspects, _ := r.quarantine.Counts(); return float64(suspects) })
+	gauge("suspected_requests", func() float64 { suspects, _ := r.quarantine.RequestCounts(); return float64(suspects) })
+	gauge("quarantined_requests", func() float64 { _, quarantined := r.quarantine.RequestCounts(); return float64(quarantined) })
 	gauge("quarantined_parts", func() float64 { _, quarantined := r.quarantine.Counts(); return float64(quarantined) })
 	gauge("connections_opened", func() float64 { return float64(r.exchanger.Counts().Opened) })
 	gauge("foreign_answers", func() float64 { return float64(r.exchanger.Counts().Skipped) })
--- a/internal/runner/peers.go
+++ b/internal/runner/peers.go
@@ -202,10 +202,10 @@
 	return slices.ContainsFunc(p.serving(), func(member gossiper.Member) bool { return member.Zone == zone })
 }
 
-// isFirst reports whether this daemon is the first of all in the order of a key.
-func (p *peers) isFirst(key string) bool {
+// isRanked reports whether this daemon has a rank, from 0, in the order of all daemons by a key.
+func (p *peers) isRanked(key string, rank int) bool {
 	ranked := gossiper.Rank(key, p.serving())
-	return len(ranked) > 0 && ranked[0].Name == p.name
+	return rank < len(ranked) && ranked[rank].Name == p.name
 }
 
 // sweep removes expired members and facts.
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -147,6 +147,7 @@
 	contacts      *contacts
 	revisions     *revisions
 	quarantine    *quarantiner.Quarantine
+	crashReports  crashReports
 	// ignoredRecords counts the operators' records that this daemon does not act on.
 	ignoredRecords *metrics.Counter
 	// epoch is the log's epoch of the last change of the operators' topic, logRestores counts
