Count crashes of a request whose part is quarantined, too

A request whose part of the prompt is quarantined is sent as a trial of that part, and such trials go on without end. Its crashes were reported for the part alone, so the request as a whole was never known and could reach more endpoints than its own trials allow. By reading; TestRequestUnderTrialsOfPart failed before: not blocked after three crashes.

--- a/internal/quarantiner/quarantiner.go
+++ b/internal/quarantiner/quarantiner.go
@@ -109,7 +109,8 @@
 }
 
 // Suspects returns the crashes of a request that was at a crashed endpoint, as a whole and by its
-// shared parts. If it or one of them is quarantined, that explains the crash alone.
+// shared parts. If it is quarantined, it explains the crash alone; if a part is, the other parts are
+// not reported.
 func (q *Quarantine) Suspects(endpoint string, parts []uint64, digest uint64, begun bool, at time.Time) []Crash {
 	q.mu.Lock()
 	defer q.mu.Unlock()
@@ -122,7 +123,7 @@
 	for place, id := range parts {
 		crash := Crash{Part: id, Place: place, Endpoint: endpoint, Begun: begun, At: at}
 		if s := q.suspects[id]; s != nil && s.quarantined {
-			return []Crash{crash}
+			return []Crash{whole, crash}
 		}
 		crashes = append(crashes, crash)
 	}
--- a/internal/quarantiner/request_test.go
+++ b/internal/quarantiner/request_test.go
@@ -265,3 +265,24 @@
 		}
 	})
 }
+
+// TestRequestUnderTrialsOfPart guards against a request that crashes endpoints without end, because it
+// is sent as a trial of a part that is quarantined, too.
+func TestRequestUnderTrialsOfPart(t *testing.T) {
+	q := quarantiner.New(func(quarantiner.Change) {})
+	crash := func(seconds float64, endpoint string, digest uint64) {
+		q.RecordCrashes(q.Suspects(endpoint, []uint64{1}, digest, true, at(seconds)), at(seconds))
+	}
+	crash(1, "e1", 7)
+	crash(1.2, "e2", 8)
+	crash(1.4, "e3", 9)
+	q.Sweep(at(2))
+	if got := len(blocked(q, []uint64{1}, at(2))); got != 1 {
+		t.Fatalf("blocked parts got %d, want 1", got)
+	}
+	crash(22, "e4", 7)
+	crash(65, "e5", 7)
+	if !q.CheckRequest(7, at(66), "d1", never).Blocked {
+		t.Error("Blocked got false after three crashes, want true")
+	}
+}
