Do not discard the response to a request that was at a crash

A stream that escalates to a larger model gives up the first endpoint when the response begins.

A request that was at a crash, here or at another daemon, is now forwarded as the first model responds, until it is served once.

--- a/internal/forwarder/crash.go
+++ b/internal/forwarder/crash.go
@@ -28,7 +28,7 @@
 // part of its prompt, crashes endpoints.
 func (c *call) checkContent() *classifier.Error {
 	verdict := c.ControlPlane.CheckContent(c.content())
-	c.onTrial = verdict.Trial
+	c.suspected = verdict.Suspected
 	switch {
 	case !verdict.Blocked:
 		return nil
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -86,8 +86,8 @@
 	Blocked    bool
 	Whole      bool
 	RetryAfter time.Duration
-	// Trial is set if the request is sent to see whether it still crashes endpoints.
-	Trial bool
+	// Suspected is set if the request was at a crashed endpoint.
+	Suspected bool
 }
 
 // VersionQuery holds what the version of a request depends on.
@@ -226,8 +226,8 @@
 	ttft time.Duration
 	// rateLimit is what the latest response said of the endpoint's limit.
 	rateLimit RateLimit
-	// onTrial is set if the request is sent to see whether it still crashes endpoints.
-	onTrial bool
+	// suspected is set if the request was at a crashed endpoint, here or at another daemon.
+	suspected bool
 	// mayCrash is set if the request may have crashed an endpoint, so that it must not be
 	// sent to another one.
 	mayCrash bool
--- a/internal/forwarder/size.go
+++ b/internal/forwarder/size.go
@@ -51,8 +51,8 @@
 // budget.
 func (c *call) escalate(choice *tracker.Choice, info ResponseInfo) bool {
 	costs := c.costs()
-	// The response to a trial tells whether the request still crashes endpoints.
-	if c.onTrial || c.hasBegun() || !c.route.Retryable() || costs == nil || info.Confidence < 0 {
+	// An endpoint may crash under a request whose response was discarded, unseen.
+	if c.suspected || c.hasBegun() || !c.route.Retryable() || costs == nil || info.Confidence < 0 {
 		return false
 	}
 	c.steps = append(c.steps, sizer.Step{Size: c.size, Confidence: info.Confidence})
--- a/internal/quarantiner/request.go
+++ b/internal/quarantiner/request.go
@@ -110,6 +110,9 @@
 	// Blocked is set if it must not be. RetryAfter is when the client may try again.
 	Blocked    bool
 	RetryAfter time.Duration
+	// Suspected is set if it was at a crashed endpoint and may be sent. It must not be given up
+	// while its endpoint may still crash, because nobody would see that.
+	Suspected bool
 	// Trial is set if it is sent to see whether it still crashes endpoints. Other daemons must
 	// learn of that before.
 	Trial bool
@@ -131,7 +134,7 @@
 	defer q.mu.Unlock()
 	r := q.requests[digest]
 	if r == nil || !r.quarantined {
-		return Verdict{}
+		return Verdict{Suspected: r != nil && len(r.crashes) > 0}
 	}
 	due, hasTrial := r.nextTrial()
 	if !hasTrial {
@@ -145,7 +148,7 @@
 		return Verdict{Blocked: true, RetryAfter: otherTrialDelay}
 	}
 	r.trials[daemon] = now
-	return Verdict{Trial: true}
+	return Verdict{Suspected: true, Trial: true}
 }
 
 // RecordTrial records that a daemon has sent a request as a trial.
--- a/internal/quarantiner/request_test.go
+++ b/internal/quarantiner/request_test.go
@@ -93,17 +93,17 @@
 		want quarantiner.Verdict
 	}{
 		"not yet":                        {nil, 11.3, 0, quarantiner.Verdict{Blocked: true, RetryAfter: 10 * time.Second}},
-		"due":                            {nil, 21.3, 0, quarantiner.Verdict{Trial: true}},
+		"due":                            {nil, 21.3, 0, quarantiner.Verdict{Suspected: true, Trial: true}},
 		"due at another daemon":          {nil, 21.3, 1, quarantiner.Verdict{Blocked: true, RetryAfter: 5 * time.Second}},
 		"another daemon has made one":    {[]requestEvent{{22, "", "d2"}}, 22.1, 1, quarantiner.Verdict{Blocked: true, RetryAfter: 19900 * time.Millisecond}},
-		"it ended without a verdict":     {[]requestEvent{{22, "", "d2"}}, 42, 1, quarantiner.Verdict{Trial: true}},
+		"it ended without a verdict":     {[]requestEvent{{22, "", "d2"}}, 42, 1, quarantiner.Verdict{Suspected: true, Trial: true}},
 		"this daemon has made one":       {[]requestEvent{{22, "", "d1"}}, 42, 1, quarantiner.Verdict{Blocked: true, RetryAfter: 5 * time.Second}},
 		"it has crashed an endpoint":     {[]requestEvent{{22, "", "d2"}, {22.1, "e4", ""}}, 100, 1, quarantiner.Verdict{Blocked: true, RetryAfter: 3522100 * time.Millisecond}},
 		"two without a verdict":          {[]requestEvent{{22, "", "d2"}, {43, "", "d3"}}, 100, 2, quarantiner.Verdict{Blocked: true, RetryAfter: 3501300 * time.Millisecond}},
-		"a daemon that had not heard":    {[]requestEvent{{6, "e4", ""}}, 26, 1, quarantiner.Verdict{Trial: true}},
+		"a daemon that had not heard":    {[]requestEvent{{6, "e4", ""}}, 26, 1, quarantiner.Verdict{Suspected: true, Trial: true}},
 		"two daemons that had not":       {[]requestEvent{{6, "e4", ""}, {7, "e5", ""}}, 100, 2, quarantiner.Verdict{Blocked: true, RetryAfter: 3507 * time.Second}},
 		"served":                         {[]requestEvent{{22, "", "d2"}, {22.1, "", ""}}, 22.2, 5, quarantiner.Verdict{}},
-		"crashes while the facts spread": {[]requestEvent{{2, "e4", ""}, {3, "e5", ""}}, 23, 0, quarantiner.Verdict{Trial: true}},
+		"crashes while the facts spread": {[]requestEvent{{2, "e4", ""}, {3, "e5", ""}}, 23, 0, quarantiner.Verdict{Suspected: true, Trial: true}},
 	}
 	for name, row := range rows {
 		t.Run(name, func(t *testing.T) {
--- a/internal/runner/crashes.go
+++ b/internal/runner/crashes.go
@@ -62,7 +62,7 @@
 			About:    &schema.Fact_Trial{Trial: &schema.RequestTrial{Request: digest, Daemon: r.peers.name}},
 		})
 	}
-	return forwarder.ContentVerdict{Blocked: verdict.Blocked, Whole: verdict.Blocked, RetryAfter: verdict.RetryAfter, Trial: verdict.Trial}
+	return forwarder.ContentVerdict{Blocked: verdict.Blocked, Whole: verdict.Blocked, RetryAfter: verdict.RetryAfter, Suspected: verdict.Suspected}
 }
 
 // ContentServed implements forwarder.ControlPlane.
