Let an operator release a request that is quarantined

After a trial that failed, a request is refused for an hour after its last crash, also when the endpoints are mended; the only ways out were a restart of all daemons at once or another path or body.

--- a/internal/runner/crashes.go
+++ b/internal/runner/crashes.go
@@ -52,6 +52,9 @@
 		return forwarder.ContentVerdict{}
 	}
 	digest := content.Digest()
+	if r.settings.Load().releases(digest) {
+		return forwarder.ContentVerdict{Suspected: true}
+	}
 	verdict := r.quarantine.CheckRequest(digest, now, r.peers.name, func(rank int) bool {
 		return r.peers.isRanked("request/"+formatPart(digest), rank)
 	})
--- a/internal/runner/reload.go
+++ b/internal/runner/reload.go
@@ -40,7 +40,7 @@
 		return err
 	}
 	current := *r.settings.Load()
-	if loaded == current {
+	if loaded.equal(current) {
 		return nil
 	}
 	if loaded.ClientAddress != current.ClientAddress || loaded.ReadyAddress != current.ReadyAddress || loaded.MetricsAddress != current.MetricsAddress ||
@@ -49,6 +49,6 @@
 	}
 	r.settings.Store(&loaded)
 	r.logger.SetLevel(loaded.LogLevel)
-	r.logger.Info("settings changed", "revoke", loaded.RevokeDeadline, "grace", loaded.StopGrace, "level", loaded.LogLevel)
+	r.logger.Info("settings changed", "revoke", loaded.RevokeDeadline, "grace", loaded.StopGrace, "level", loaded.LogLevel, "released", len(loaded.Released))
 	return nil
 }
--- a/internal/runner/settings.go
+++ b/internal/runner/settings.go
@@ -2,6 +2,9 @@
 
 import (
 	"net/netip"
+	"reflect"
+	"slices"
+	"strconv"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -47,6 +50,18 @@
 	// may get in any second from all daemons, ColdMargin the number of requests on top.
 	ColdFactor float64
 	ColdMargin float64
+	// Released are the digests of requests that are sent although they have crashed endpoints.
+	Released []uint64
+}
+
+// equal reports whether two settings are the same.
+func (s Settings) equal(other Settings) bool {
+	return reflect.DeepEqual(s, other)
+}
+
+// releases reports whether a request is sent although it has crashed endpoints.
+func (s Settings) releases(digest uint64) bool {
+	return slices.Contains(s.Released, digest)
 }
 
 // settingsChecker collects the faults of settings.
@@ -106,6 +121,19 @@
 	return level
 }
 
+// digests parses the digests of requests.
+func (c *settingsChecker) digests(path string, values []string) []uint64 {
+	var digests []uint64
+	for i, value := range values {
+		digest, err := strconv.ParseUint(value, 16, 64)
+		if err != nil {
+			c.fault(path+"."+strconv.Itoa(i), "\""+value+"\" is not a digest", "write it as the log lines show it")
+		}
+		digests = append(digests, digest)
+	}
+	return digests
+}
+
 // share checks a share of a whole.
 func (c *settingsChecker) share(path string, value float64) float64 {
 	if !(value >= 0) || value > 1 {
@@ -153,6 +181,7 @@
 		SessionTimeout: c.duration("bounds.session", bounds.GetSession()),
 		ColdFactor:     c.factor("bounds.cold", bounds.GetCold()),
 		ColdMargin:     c.count("bounds.margin", bounds.GetMargin()),
+		Released:       c.digests("release", settings.GetRelease()),
 	}
 	return checked, source.Locate(c.faults).Err()
 }
--- a/internal/runner/settings_test.go
+++ b/internal/runner/settings_test.go
@@ -51,6 +51,8 @@
 		"negative slack":       {"slack = 30", "slack = -0.5", []string{":20:", "bounds.slack"}},
 		"negative cold factor": {`session = "6.7s"`, "session = \"6.7s\"\ncold = -1.5", []string{":22:", "bounds.cold", "between 0 and 10"}},
 		"negative cold margin": {`session = "6.7s"`, "session = \"6.7s\"\nmargin = -5", []string{":22:", "bounds.margin", "is negative"}},
+		"released request":     {`zone = "ouse"`, "zone = \"ouse\"\nrelease = [\"90dea8f6efa7b5e7\"]", nil},
+		"invalid digest":       {`zone = "ouse"`, "zone = \"ouse\"\nrelease = [\"r-12\"]", []string{":3:", "release", "is not a digest"}},
 		"not TOML":             {"[bounds]", "[bounds", []string{":14:"}},
 	}
 	for name, row := range rows {
