Keep requests that crash endpoints in the log for a start of all daemons

If all daemons start anew at once, nobody is left who knows a quarantined request, and it crashes three endpoints more each time, and makes its trials again.

The facts about a quarantined request are now also a record in the topic of contacts, which the first daemons to start read in any case. One daemon writes it; nobody needs it in normal operation.

--- a/internal/gossiper/facts.go
+++ b/internal/gossiper/facts.go
@@ -77,6 +77,12 @@
 	m.addFact(message, now)
 }
 
+// Knows reports whether a fact about the same thing is held.
+func (m *Membership) Knows(message *schema.Fact) bool {
+	_, ok := m.facts[FactKey(message)]
+	return ok
+}
+
 // addFact stores a fact and queues it as a rumour. It returns false if the fact has
 // expired or is not newer than the one that is stored.
 func (m *Membership) addFact(message *schema.Fact, now time.Time) (Fact, bool) {
--- a/internal/runner/crashes.go
+++ b/internal/runner/crashes.go
@@ -13,8 +13,12 @@
 	"quetzalgrade.example/quetzalgrade/pkg/schema"
 )
 
-// logQuarantine logs that a part or a request is quarantined or no longer is.
-func (r *Runner) logQuarantine(change quarantiner.Change) {
+// handleQuarantine logs that a part or a request is quarantined or no longer is, and has the record
+// of a request deleted.
+func (r *Runner) handleQuarantine(change quarantiner.Change) {
+	if change.Whole && !change.Quarantined {
+		r.requestRecords.setReleased(change.Part)
+	}
 	id := formatPart(change.Part)
 	switch {
 	case change.Whole && change.Quarantined:
@@ -60,10 +64,7 @@
 	})
 	if verdict.Trial {
 		r.logger.Info("sending a request that crashed endpoints as a trial", "digest", formatPart(digest))
-		r.peers.observe(&schema.Fact{
-			Lifetime: durationpb.New(quarantiner.RequestLifetime),
-			About:    &schema.Fact_Trial{Trial: &schema.RequestTrial{Request: digest, Daemon: r.peers.name}},
-		})
+		r.peers.observe(newTrialFact(digest, r.peers.name))
 	}
 	return forwarder.ContentVerdict{Blocked: verdict.Blocked, Whole: verdict.Blocked, RetryAfter: verdict.RetryAfter, Suspected: verdict.Suspected}
 }
@@ -125,6 +126,14 @@
 	}
 }
 
+// newTrialFact returns the fact that a daemon sends a request as a trial.
+func newTrialFact(digest uint64, daemon string) *schema.Fact {
+	return &schema.Fact{
+		Lifetime: durationpb.New(quarantiner.RequestLifetime),
+		About:    &schema.Fact_Trial{Trial: &schema.RequestTrial{Request: digest, Daemon: daemon}},
+	}
+}
+
 const (
 	// maxCrashReports bounds the first crashes of requests that all daemons together report in
 	// the lifetime of such a fact, because all daemons hold all facts. minCrashReports is what
--- a/internal/runner/peers.go
+++ b/internal/runner/peers.go
@@ -173,6 +173,19 @@
 	p.prober.SpreadUrgent()
 }
 
+// observeUnknown spreads facts that this daemon has read, unless it knows them already.
+func (p *peers) observeUnknown(facts ...*schema.Fact) {
+	p.members.Enqueue(func(state *gossiper.Membership) {
+		now := time.Now()
+		for _, fact := range facts {
+			if !state.Knows(fact) {
+				state.Observe(fact, now)
+			}
+		}
+	})
+	p.prober.SpreadUrgent()
+}
+
 // reportRevision lets other daemons know the revision of the declaration in force here, unless
 // one of them has a higher one: a daemon that starts would take this daemon to be up to date.
 func (p *peers) reportRevision(revision uint64) {
