Use up a request's trial when it is sent, not when it is allowed

A trial that found no endpoint was spent although nothing was sent, and there are two at most, so a sound request could stay refused for an hour. The daemon now records the trial once an endpoint has been chosen (BeginTrial); TestTrialBeginsOnce.

--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -75,6 +75,10 @@
 			}
 			break
 		}
+		if problem := c.beginTrial(choice); problem != nil {
+			last = problem
+			break
+		}
 		c.adaptSize(choice)
 		if attempts > 0 {
 			c.Counters.Retries.Inc()
--- a/internal/forwarder/crash.go
+++ b/internal/forwarder/crash.go
@@ -28,17 +28,32 @@
 // part of its prompt, crashes endpoints.
 func (c *call) checkContent() *classifier.Error {
 	verdict := c.ControlPlane.CheckContent(c.content())
-	c.suspected = verdict.Suspected
+	c.suspected, c.onTrial = verdict.Suspected, verdict.Trial
 	switch {
 	case !verdict.Blocked:
 		return nil
 	case verdict.Whole:
-		return classifier.New(classifier.RequestQuarantined, "the request, of digest %s, crashes endpoints", formatDigest(c.contentDigest())).WithRetryAfter(verdict.RetryAfter)
+		return c.quarantined(verdict.RetryAfter)
 	default:
 		return classifier.New(classifier.PromptQuarantined, "requests with a part of the prompt crash endpoints").WithRetryAfter(verdict.RetryAfter)
 	}
 }
 
+// quarantined returns the error for a request that crashes endpoints.
+func (c *call) quarantined(retryAfter time.Duration) *classifier.Error {
+	return classifier.New(classifier.RequestQuarantined, "the request, of digest %s, crashes endpoints", formatDigest(c.contentDigest())).WithRetryAfter(retryAfter)
+}
+
+// beginTrial returns an error if the request, for which an endpoint has been chosen, may be sent as a
+// trial only and another one has been since.
+func (c *call) beginTrial(choice *tracker.Choice) *classifier.Error {
+	if !c.onTrial || c.ControlPlane.BeginTrial(c.content()) {
+		return nil
+	}
+	choice.End(tracker.Neutral, 0)
+	return c.quarantined(notReadyRetryAfter)
+}
+
 // checkCrash finds out whether an endpoint that closed the connection before the response
 // had more than begun has crashed, and records it. An endpoint that crashed refuses
 // connections. Begun says whether the response had begun at all.
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -51,6 +51,9 @@
 	RecordResult(result Result)
 	// CheckContent returns whether a request with the content may be sent to an endpoint.
 	CheckContent(content Content) ContentVerdict
+	// BeginTrial records that a request, which may be sent as a trial, is sent now. It returns
+	// false if it must not be.
+	BeginTrial(content Content) bool
 	// ContentServed records that an endpoint wrote more than the beginning of a response to
 	// a request with the content. The response began at the time. If it failed, it shows no
 	// more than that the endpoint did not crash.
@@ -86,8 +89,10 @@
 	Blocked    bool
 	Whole      bool
 	RetryAfter time.Duration
-	// Suspected is set if the request was at a crashed endpoint.
+	// Suspected is set if the request was at a crashed endpoint. Trial is set if it may be sent
+	// only to see whether it still crashes endpoints.
 	Suspected bool
+	Trial     bool
 }
 
 // VersionQuery holds what the version of a request depends on.
@@ -228,6 +233,9 @@
 	rateLimit RateLimit
 	// suspected is set if the request was at a crashed endpoint, here or at another daemon.
 	suspected bool
+	// onTrial is set if the next attempt is a trial, to see whether the request still crashes
+	// endpoints.
+	onTrial bool
 	// mayCrash is set if the request may have crashed an endpoint, so that it must not be
 	// sent to another one.
 	mayCrash bool
--- a/internal/quarantiner/request.go
+++ b/internal/quarantiner/request.go
@@ -113,8 +113,7 @@
 	// Suspected is set if it was at a crashed endpoint and may be sent. It must not be given up
 	// while its endpoint may still crash, because nobody would see that.
 	Suspected bool
-	// Trial is set if it is sent to see whether it still crashes endpoints. Other daemons must
-	// learn of that before.
+	// Trial is set if it may be sent to see whether it still crashes endpoints.
 	Trial bool
 }
 
@@ -147,10 +146,22 @@
 	if hasTried || !isRanked(r.spentTrials()) {
 		return Verdict{Blocked: true, RetryAfter: otherTrialDelay}
 	}
-	r.trials[daemon] = now
 	return Verdict{Suspected: true, Trial: true}
 }
 
+// BeginTrial records that this daemon sends a request as a trial, of which other daemons must learn
+// before. It returns false if the daemon has done so before, possibly at this moment.
+func (q *Quarantine) BeginTrial(digest uint64, daemon string, now time.Time) bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	r := q.request(digest)
+	if _, hasTried := r.trials[daemon]; hasTried {
+		return false
+	}
+	r.trials[daemon] = now
+	return true
+}
+
 // RecordTrial records that a daemon has sent a request as a trial.
 func (q *Quarantine) RecordTrial(digest uint64, daemon string, at time.Time) {
 	q.mu.Lock()
--- a/internal/quarantiner/request_test.go
+++ b/internal/quarantiner/request_test.go
@@ -156,6 +156,23 @@
 	}
 }
 
+// TestTrialBeginsOnce guards against two trials by one daemon that are chosen at the same time.
+func TestTrialBeginsOnce(t *testing.T) {
+	q := quarantiner.New(func(quarantiner.Change) {})
+	applyRequest(q, 7, []requestEvent{{1, "e1", ""}, {1.1, "e2", ""}, {1.3, "e3", ""}})
+	for range 2 {
+		if !q.CheckRequest(7, at(30), "d1", func(int) bool { return true }).Trial {
+			t.Error("Trial before it begins got false, want true")
+		}
+	}
+	if !q.BeginTrial(7, "d1", at(30)) {
+		t.Error("first BeginTrial() got false, want true")
+	}
+	if q.BeginTrial(7, "d1", at(30)) {
+		t.Error("second BeginTrial() got true, want false")
+	}
+}
+
 // TestRepeatOfRequest guards against a request that its own daemon sends to a third endpoint.
 func TestRepeatOfRequest(t *testing.T) {
 	rows := map[string]struct {
@@ -238,7 +255,7 @@
 			i := rapid.IntRange(0, daemons-1).Draw(t, "daemon")
 			name := fmt.Sprint("d", i)
 			verdict := fleet[i].CheckRequest(digest, now, name, func(rank int) bool { return (rank+3)%daemons == i })
-			if verdict.Blocked {
+			if verdict.Blocked || verdict.Trial && !fleet[i].BeginTrial(digest, name, now) {
 				continue
 			}
 			arrivals = append(arrivals, now)
--- a/internal/runner/crashes.go
+++ b/internal/runner/crashes.go
@@ -62,11 +62,18 @@
 	verdict := r.quarantine.CheckRequest(digest, now, r.peers.name, func(rank int) bool {
 		return r.peers.isRanked("request/"+formatPart(digest), rank)
 	})
-	if verdict.Trial {
-		r.logger.Info("sending a request that crashed endpoints as a trial", "digest", formatPart(digest))
-		r.peers.observe(newTrialFact(digest, r.peers.name))
+	return forwarder.ContentVerdict{Blocked: verdict.Blocked, Whole: verdict.Blocked, RetryAfter: verdict.RetryAfter, Suspected: verdict.Suspected, Trial: verdict.Trial}
+}
+
+// BeginTrial implements forwarder.ControlPlane.
+func (r *Runner) BeginTrial(content forwarder.Content) bool {
+	digest := content.Digest()
+	if !r.quarantine.BeginTrial(digest, r.peers.name, time.Now()) {
+		return false
 	}
-	return forwarder.ContentVerdict{Blocked: verdict.Blocked, Whole: verdict.Blocked, RetryAfter: verdict.RetryAfter, Suspected: verdict.Suspected}
+	r.logger.Info("sending a request that crashed endpoints as a trial", "digest", formatPart(digest))
+	r.peers.observe(newTrialFact(digest, r.peers.name))
+	return true
 }
 
 // ContentServed implements forwarder.ControlPlane.
