Quarantine a request whose three endpoints crash at once

Three crashes within 0.1 s counted as one moment, a fault of another kind.

Such a request is quarantined now, and its first trial comes after 5 s instead of 20, in case the endpoints crashed for another reason.

--- a/internal/quarantiner/request.go
+++ b/internal/quarantiner/request.go
@@ -11,8 +11,12 @@
 	// last crash.
 	RequestLifetime = time.Hour
 	// spreadTime is the time within which all daemons know of a crash. A request that crashes
-	// an endpoint later than that after it was proven to do so counts as a trial.
+	// an endpoint later than that after the second one counts as a trial: there may have been
+	// another crash that nobody saw.
 	spreadTime = 3 * time.Second
+	// earlyTrialDelay is the time until the first trial of a request whose crashes came at once.
+	// They may be a fault of another kind, and the endpoints are away for some seconds anyway.
+	earlyTrialDelay = 5 * time.Second
 	// maxRequestTrials bounds the trials of a request by all daemons together. One that crashes
 	// an endpoint counts twice.
 	maxRequestTrials = 2
@@ -52,12 +56,8 @@
 	return times
 }
 
-// isCause reports whether the crashes show that the request causes them. Many endpoints that crash
-// at once are a fault of another kind.
-func (r *request) isCause() bool {
-	times := r.times()
-	return len(times) >= minCrashes && times[len(times)-1].Sub(times[0]) >= momentLength
-}
+// isCause reports whether the crashes show that the request causes them.
+func (r *request) isCause() bool { return len(r.crashes) >= minCrashes }
 
 // spentTrials returns the number of trials that count. A trial that has crashed an endpoint counts
 // twice, as a trial and as a late crash.
@@ -65,7 +65,7 @@
 	spent := len(r.trials)
 	times := r.times()
 	for _, at := range times {
-		if at.Sub(times[minCrashes-1]) > spreadTime {
+		if at.Sub(times[min(1, len(times)-1)]) > spreadTime {
 			spent++
 		}
 	}
@@ -77,7 +77,11 @@
 	if r.spentTrials() >= maxRequestTrials {
 		return time.Time{}, false
 	}
-	last := r.lastCrash()
+	times := r.times()
+	last := times[len(times)-1]
+	if len(r.trials) == 0 && last.Sub(times[0]) < momentLength {
+		return last.Add(earlyTrialDelay), true
+	}
 	for _, at := range r.trials {
 		if at.After(last) {
 			last = at
