Release a request that was at no other crashes than a quarantined one

As for parts of prompts, one whose crashes another quarantined request explains, and more, is released; its next crash without the other one quarantines it again. TestDominatedRequest.

--- a/internal/quarantiner/request.go
+++ b/internal/quarantiner/request.go
@@ -59,6 +59,19 @@
 // isCause reports whether the crashes show that the request causes them.
 func (r *request) isCause() bool { return len(r.crashes) >= minCrashes }
 
+// isDominated reports whether another request explains all crashes of this one, and more.
+func (r *request) isDominated(other *request) bool {
+	if len(other.crashes) <= len(r.crashes) {
+		return false
+	}
+	for endpoint := range r.crashes {
+		if _, ok := other.crashes[endpoint]; !ok {
+			return false
+		}
+	}
+	return true
+}
+
 // spentTrials returns the number of trials that count. A trial that has crashed an endpoint counts
 // twice, as a trial and as a late crash.
 func (r *request) spentTrials() int {
@@ -264,11 +277,36 @@
 	if !known {
 		r.known++
 	}
-	if !r.quarantined && r.isCause() {
+	if !r.quarantined && r.isCause() && !q.isDominatedRequest(r) {
 		r.quarantined = true
 		q.quarantinedRequests++
 		q.onChange(r.change())
 	}
+	q.releaseDominatedRequests(r)
+}
+
+// isDominatedRequest reports whether a quarantined request explains all crashes of another one, and
+// more.
+func (q *Quarantine) isDominatedRequest(r *request) bool {
+	for _, other := range q.requests {
+		if other.quarantined && r.isDominated(other) {
+			return true
+		}
+	}
+	return false
+}
+
+// releaseDominatedRequests ends the quarantine of requests that were at no other crashes than a
+// quarantined one.
+func (q *Quarantine) releaseDominatedRequests(by *request) {
+	if !by.quarantined {
+		return
+	}
+	for _, r := range q.requests {
+		if r.quarantined && r.isDominated(by) {
+			q.releaseRequest(r)
+		}
+	}
 }
 
 func (r *request) change() Change {
--- a/internal/quarantiner/request_test.go
+++ b/internal/quarantiner/request_test.go
@@ -184,6 +184,44 @@
 	}
 }
 
+// TestDominatedRequest guards against a sound request that stays quarantined because it was at three
+// endpoints together with the one that crashes them, and against one that crashes them, too, and is
+// not found because of the other.
+func TestDominatedRequest(t *testing.T) {
+	const cause, other = 7, 8
+	type crash struct {
+		endpoint string
+		digest   uint64
+	}
+	both := []crash{{"e1", cause}, {"e1", other}, {"e2", other}, {"e2", cause}, {"e3", other}, {"e3", cause}}
+	rows := map[string]struct {
+		more      []crash
+		wantOther bool
+	}{
+		"as many crashes":                   {nil, true},
+		"one more of the cause":             {[]crash{{"e4", cause}}, false},
+		"two more of the cause":             {[]crash{{"e4", cause}, {"e5", cause}}, false},
+		"one more each, at other endpoints": {[]crash{{"e4", cause}, {"e5", other}}, true},
+		"one more of both":                  {[]crash{{"e4", cause}, {"e4", other}}, true},
+		"released, then a crash by itself":  {[]crash{{"e4", cause}, {"e5", cause}, {"e6", other}}, true},
+	}
+	for name, row := range rows {
+		t.Run(name, func(t *testing.T) {
+			q := quarantiner.New(func(quarantiner.Change) {})
+			for i, crash := range append(append([]crash{}, both...), row.more...) {
+				now := at(1 + float64(i)/5)
+				q.RecordCrashes(q.Suspects(crash.endpoint, nil, crash.digest, true, now), now)
+			}
+			if got := q.CheckRequest(cause, at(5), "d1", never).Blocked; !got {
+				t.Errorf("Blocked of the cause got %v, want true", got)
+			}
+			if got := q.CheckRequest(other, at(5), "d1", never).Blocked; got != row.wantOther {
+				t.Errorf("Blocked of the other got %v, want %v", got, row.wantOther)
+			}
+		})
+	}
+}
+
 // TestTrialBeginsOnce guards against two trials by one daemon that are chosen at the same time.
 func TestTrialBeginsOnce(t *testing.T) {
 	q := quarantiner.New(func(quarantiner.Change) {})
