--- a/internal/forwarder/size.go
+++ b/internal/forwarder/size.go
@@ -51,7 +51,8 @@
 // budget.
 func (c *call) escalate(choice *tracker.Choice, info ResponseInfo) bool {
 	costs := c.costs()
-	if c.hasBegun() || !c.route.Retryable() || costs == nil || info.Confidence < 0 {
+	// An endpoint may crash under a request whose response was discarded, unseen.
+	if c.suspected || c.hasBegun() || !c.route.Retryable() || costs == nil || info.Confidence < 0 {
 		return false
 	}
 	c.steps = append(c.steps, sizer.Step{Size: c.size, Confidence: info.Confidence})
--- a/internal/gossiper/facts.go
+++ b/internal/gossiper/facts.go
@@ -30,9 +30,11 @@
 		if about.Crash.GetBegun() {
 			key += "/begun"
 		}
-		return key
+		return key + wholeSuffix(about.Crash.GetWhole())
 	case *schema.Fact_Sound:
-		return "sound/" + strconv.FormatUint(about.Sound.GetPart(), 16)
+		return "sound/" + strconv.FormatUint(about.Sound.GetPart(), 16) + wholeSuffix(about.Sound.GetWhole())
+	case *schema.Fact_Trial:
+		return "trial/" + strconv.FormatUint(about.Trial.GetRequest(), 16) + "/" + about.Trial.GetDaemon()
 	case *schema.Fact_Limit:
 		return "limit/" + about.Limit.GetEndpoint() + "/" + strconv.FormatInt(about.Limit.GetStartedMs(), 10)
 	case *schema.Fact_Cold:
@@ -42,6 +44,14 @@
 	}
 }
 
+// wholeSuffix tells the digest of a whole request from the id of a part, which a client chooses.
+func wholeSuffix(whole bool) string {
+	if whole {
+		return "/whole"
+	}
+	return ""
+}
+
 // expired reports whether the fact no longer holds.
 func (f Fact) expired(now time.Time) bool {
 	return now.Sub(f.ObservedAt) >= f.Message.GetLifetime().AsDuration()
@@ -67,6 +77,12 @@
 	m.addFact(message, now)
 }
 
+// Knows reports whether a fact about the same thing is held.
+func (m *Membership) Knows(message *schema.Fact) bool {
+	_, ok := m.facts[FactKey(message)]
+	return ok
+}
+
 // addFact stores a fact and queues it as a rumour. It returns false if the fact has
 // expired or is not newer than the one that is stored.
 func (m *Membership) addFact(message *schema.Fact, now time.Time) (Fact, bool) {
--- a/internal/runner/peers.go
+++ b/internal/runner/peers.go
@@ -175,6 +175,19 @@
 	p.prober.SpreadUrgent()
 }
 
+// observeUnknown spreads facts that this daemon has read, unless it knows them already.
+func (p *peers) observeUnknown(facts ...*schema.Fact) {
+	p.members.Enqueue(func(state *gossiper.Membership) {
+		now := time.Now()
+		for _, fact := range facts {
+			if !state.Knows(fact) {
+				state.Observe(fact, now)
+			}
+		}
+	})
+	p.prober.SpreadUrgent()
+}
+
 // reportRevision lets other daemons know the revision of the declaration in force here, unless
 // one of them has a higher one: a daemon that starts would take this daemon to be up to date.
 func (p *peers) reportRevision(revision uint64) {
@@ -204,10 +217,10 @@
 	return slices.ContainsFunc(p.serving(), func(member gossiper.Member) bool { return member.Zone == zone })
 }
 
-// isFirst reports whether this daemon is the first of all in the order of a key.
-func (p *peers) isFirst(key string) bool {
+// isRanked reports whether this daemon has a rank, from 0, in the order of all daemons by a key.
+func (p *peers) isRanked(key string, rank int) bool {
 	ranked := gossiper.Rank(key, p.serving())
-	return len(ranked) > 0 && ranked[0].Name == p.name
+	return rank < len(ranked) && ranked[rank].Name == p.name
 }
 
 // sweep removes expired members and facts.
