Ignore reports of crashes that are older than a response seen here

A daemon that has served a request forgot the crashes before that, but took those that other daemons reported later for new ones: with three of them it refused a sound request. One refusal, where none is allowed, in the row "less popular" of TestSoundRequestAtCrashingEndpoints in one of four runs of ./platform as a whole; none in 12 runs of the row alone. TestLateReportsOfCrashes failed before. Whether this was the cause of that refusal is not shown.

--- a/internal/quarantiner/request.go
+++ b/internal/quarantiner/request.go
@@ -323,6 +323,8 @@
 	if r == nil {
 		return false
 	}
+	// Reports of crashes before it may still be on their way.
+	q.soundRequests[digest] = latest(q.soundRequests[digest], began)
 	q.markRequestSound(r, began)
 	if r.known < minCrashes-1 || now.Sub(r.soundReportedAt) < soundInterval {
 		return false
@@ -336,14 +338,20 @@
 func (q *Quarantine) RecordRequestSound(digest uint64, began time.Time) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	if began.After(q.soundRequests[digest]) {
-		q.soundRequests[digest] = began
-	}
+	q.soundRequests[digest] = latest(q.soundRequests[digest], began)
 	if r := q.requests[digest]; r != nil {
 		q.markRequestSound(r, began)
 	}
 }
 
+// latest returns the later of two times.
+func latest(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 // markRequestSound drops the crashes and trials before a response began.
 func (q *Quarantine) markRequestSound(r *request, began time.Time) {
 	isBefore := func(_ string, at time.Time) bool { return at.Before(began) }
--- a/internal/quarantiner/request_test.go
+++ b/internal/quarantiner/request_test.go
@@ -222,6 +222,20 @@
 	}
 }
 
+// TestLateReportsOfCrashes guards against a sound request that is refused because other daemons' reports
+// of crashes arrive after it was served, and are older.
+func TestLateReportsOfCrashes(t *testing.T) {
+	q := quarantiner.New(func(quarantiner.Change) {})
+	applyRequest(q, 7, []requestEvent{{1, "e1", ""}, {2, "", ""}})
+	for i, seconds := range []float64{1.2, 1.4, 1.6} {
+		crash := quarantiner.Crash{Part: 7, Whole: true, Endpoint: fmt.Sprint("late", i), At: at(seconds)}
+		q.RecordCrashes([]quarantiner.Crash{crash}, at(2.2))
+	}
+	if q.CheckRequest(7, at(2.3), "d1", never).Blocked {
+		t.Error("Blocked got true, want false")
+	}
+}
+
 // TestTrialBeginsOnce guards against two trials by one daemon that are chosen at the same time.
 func TestTrialBeginsOnce(t *testing.T) {
 	q := quarantiner.New(func(quarantiner.Change) {})
