--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -29,10 +29,11 @@
 	// key and to decide that a route or an API key does not exist.
 	Fresh bool
 	// Draining is set if the daemon is stopping and asks clients to close their
-	// connections. Requests that are still running at RequestsEndAt are ended. Unlisted
-	// is set once the load balancer no longer sends connections.
+	// connections. Requests that are still running at RequestsEndAt are ended. Ending
+	// is set once so much of the stop is over that requests are refused that may last longer,
+	// those too that may be repeated.
 	Draining      bool
-	Unlisted      bool
+	Ending        bool
 	RequestsEndAt time.Time
 }
 
@@ -49,17 +50,20 @@
 	SelectVersion(query VersionQuery) VersionConstraint
 	// RecordResult records the result of an attempt as evidence about its version.
 	RecordResult(result Result)
-	// CheckParts returns when a client may send a request with the parts again, and
-	// false if it may be sent now.
-	CheckParts(parts []PromptPart) (retryAfter time.Duration, blocked bool)
-	// PartsServed records that an endpoint wrote more than the beginning of a response to
-	// a request with the parts. The response began at the time.
-	PartsServed(parts []PromptPart, began time.Time)
+	// CheckContent returns whether a request with the content may be sent to an endpoint.
+	CheckContent(content Content) ContentVerdict
+	// BeginTrial records that a request, which may be sent as a trial, is sent now. It returns
+	// false if it must not be.
+	BeginTrial(content Content) bool
+	// ContentServed records that an endpoint wrote more than the beginning of a response to
+	// a request with the content. The response began at the time. If it failed, it shows no
+	// more than that the endpoint did not crash.
+	ContentServed(content Content, began time.Time, failed bool)
 	// EndpointCrashed records that an endpoint crashed while it had a request with the
-	// parts, and had written no more than the beginning of the response. Begun says
+	// content, and had written no more than the beginning of the response. Begun says
 	// whether it had begun to respond. The result is whether the request may be sent to
 	// another endpoint.
-	EndpointCrashed(endpoint tracker.Registration, parts []PromptPart, begun bool) (repeatable bool)
+	EndpointCrashed(endpoint tracker.Registration, content Content, begun bool) (repeatable bool)
 	// RecordRateLimit records what the response to a request, which was sent at a time,
 	// says of the endpoint's limit.
 	RecordRateLimit(endpoint tracker.Registration, limit RateLimit, sentAt time.Time)
@@ -71,6 +75,27 @@
 	RequestEnded(session string)
 }
 
+// Content is what a request may crash endpoints with.
+type Content struct {
+	// Parts are the parts of the prompt that the request may share with others.
+	Parts []PromptPart
+	// Digest returns a digest of the request as a whole, which it computes if need be.
+	Digest func() uint64
+}
+
+// ContentVerdict says whether a request may be sent to an endpoint.
+type ContentVerdict struct {
+	// Blocked is set if it must not be, Whole if that is because of the request as a whole and
+	// not of a part of the prompt. RetryAfter is when the client may try again.
+	Blocked    bool
+	Whole      bool
+	RetryAfter time.Duration
+	// Suspected is set if the request was at a crashed endpoint. Trial is set if it may be sent
+	// only to see whether it still crashes endpoints.
+	Suspected bool
+	Trial     bool
+}
+
 // VersionQuery holds what the version of a request depends on.
 type VersionQuery struct {
 	Service string
@@ -172,6 +197,8 @@
 	route   *matcher.Route
 	account *matcher.Account
 	body    []byte
+	// digest is the result of contentDigest, or 0 before its first call.
+	digest uint64
 	// memory is what the request and its response hold of that memory, but for what is read
 	// on for a slow client.
 	memory  *reserver.Reservation
@@ -205,6 +232,11 @@
 	ttft time.Duration
 	// rateLimit is what the latest response said of the endpoint's limit.
 	rateLimit RateLimit
+	// suspected is set if the request was at a crashed endpoint, here or at another daemon.
+	suspected bool
+	// onTrial is set if the next attempt is a trial, to see whether the request still crashes
+	// endpoints.
+	onTrial bool
 	// mayCrash is set if the request may have crashed an endpoint, so that it must not be
 	// sent to another one.
 	mayCrash bool
@@ -267,12 +299,11 @@
 	return c.readBody()
 }
 
-// checkStop rejects a request that a stopping daemon may not be able to end. While the load
-// balancer still sends connections, one that may be repeated is accepted, because most end
-// long before their deadlines.
+// checkStop rejects a request that a stopping daemon may not be able to end. In the first part of the
+// stop, one that may be repeated is accepted, because most end long before their deadlines.
 func (c *call) checkStop() *classifier.Error {
 	endsInTime := !c.deadline.After(c.view.RequestsEndAt)
-	if !c.view.Draining || endsInTime || c.route.Retryable() && !c.view.Unlisted {
+	if !c.view.Draining || endsInTime || c.route.Retryable() && !c.view.Ending {
 		return nil
 	}
 	return classifier.New(classifier.Stopping, "the instance stops before the request must end").WithRetryAfter(notReadyRetryAfter)
--- a/internal/prober/prober.go
+++ b/internal/prober/prober.go
@@ -12,8 +12,10 @@
 
 	"connectrpc.com/connect"
 	"github.com/go-faster/errors"
+	"google.golang.org/protobuf/proto"
 
 	"quetzalgrade.example/quetzalgrade/internal/gossiper"
+	"quetzalgrade.example/quetzalgrade/internal/sleeper"
 	"quetzalgrade.example/quetzalgrade/pkg/schema"
 )
 
@@ -52,7 +54,8 @@
 // Options configure a prober.
 type Options struct {
 	Members Members
-	// Self is this daemon as it introduces itself.
+	// Self is this daemon as it introduces itself. It may take a later incarnation while
+	// it runs.
 	Self *schema.Sender
 	// Connect returns the client of the daemon at an address.
 	Connect func(address netip.AddrPort) Client
@@ -92,7 +95,7 @@
 	random := p.newRandom(0)
 	// When ctx ends, the state's actor may still use the random source of a probe.
 	for ctx.Err() == nil {
-		sleep(ctx, time.Duration((1-probeJitter+2*probeJitter*random.Float64())*float64(probeInterval)))
+		sleeper.Sleep(ctx, time.Duration((1-probeJitter+2*probeJitter*random.Float64())*float64(probeInterval)))
 		if ctx.Err() != nil {
 			break
 		}
@@ -148,15 +151,19 @@
 // probe is Probe with the choice whether the member compares digests. While a rumour
 // spreads they differ almost everywhere, and to respond with everything would be much work.
 func (p *Prober) probe(ctx context.Context, target gossiper.Member, join, compare bool) error {
+	var self *schema.Sender
 	var rumours *schema.Rumours
-	err := p.Members.Do(ctx, func(state *gossiper.Membership) { rumours = state.RumoursFor(target.Name, false, time.Now()) })
+	err := p.Members.Do(ctx, func(state *gossiper.Membership) {
+		self = p.sender(state)
+		rumours = state.RumoursFor(target.Name, false, time.Now())
+	})
 	if err != nil {
 		return err
 	}
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
 	response, err := p.Connect(target.Address).Probe(ctx, connect.NewRequest(&schema.ProbeRequest{
-		Sender:  p.Self,
+		Sender:  self,
 		Rumours: rumours,
 		Join:    join,
 		Compare: compare,
@@ -186,6 +193,13 @@
 	return changes
 }
 
+// sender returns this daemon as it introduces itself, with its present incarnation.
+func (p *Prober) sender(state *gossiper.Membership) *schema.Sender {
+	self := proto.CloneOf(p.Self)
+	self.Incarnation = state.Self().Incarnation
+	return self
+}
+
 // probeIndirectly asks another member to probe the target. It reports whether
 // that member reached the target.
 func (p *Prober) probeIndirectly(ctx context.Context, helper gossiper.Member, target string) bool {
@@ -205,6 +219,7 @@
 	}
 	err := p.Members.Do(ctx, func(state *gossiper.Membership) {
 		changes := p.receive(state, request.GetSender(), request.GetRumours())
+		response.Sender = p.sender(state)
 		response.Rumours = state.RumoursFor(request.GetSender().GetName(), request.GetJoin() || request.GetCompare() && changes.MembersDiffer, time.Now())
 		if request.GetCompare() && changes.FactsDiffer {
 			response.Rumours.Facts = state.FactMessages(time.Now())
@@ -252,7 +267,7 @@
 			// A member that does not respond is found by the regular probes.
 			group.Go(func() { _ = p.probe(ctx, member, false, false) })
 		}
-		sleep(ctx, urgentInterval)
+		sleeper.Sleep(ctx, urgentInterval)
 		group.Wait()
 	}
 }
@@ -295,12 +310,3 @@
 		}
 	}
 }
-
-func sleep(ctx context.Context, pause time.Duration) {
-	timer := time.NewTimer(pause)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -21,6 +21,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"quetzalgrade.example/quetzalgrade/internal/connector"
+	"quetzalgrade.example/quetzalgrade/internal/sleeper"
 	"quetzalgrade.example/quetzalgrade/internal/subscriber"
 	"quetzalgrade.example/quetzalgrade/internal/tracker"
 	"quetzalgrade.example/quetzalgrade/pkg/schema"
@@ -28,11 +29,9 @@
 )
 
 const (
-	// readWait is how long the zone reader may hold a read, responseSlack how much
-	// longer its response may take. Together they stay well under the age at which a
-	// verified read is too old.
-	readWait      = 1900 * time.Millisecond
-	responseSlack = 250 * time.Millisecond
+	// readTimeout bounds a read from the zone reader, which may hold it. It stays well under
+	// the age at which a verified read is too old.
+	readTimeout = subscriber.MaxPeerWait + 250*time.Millisecond
 	// maxWait bounds the wait that a client may ask for.
 	maxWait = 5 * time.Second
 	// startJitter spreads the claims of daemons that start at the same time and find no
@@ -208,9 +207,9 @@
 		select {
 		case <-timer.C:
 		case <-r.readerFailed:
-			sleep(ctx, time.Duration(rand.Int64N(int64(r.failureJitter()))))
+			sleeper.Sleep(ctx, time.Duration(rand.Int64N(int64(r.failureJitter()))))
 		case <-r.logRestored:
-			sleep(ctx, time.Duration(rand.Int64N(int64(startJitter))))
+			sleeper.Sleep(ctx, time.Duration(rand.Int64N(int64(startJitter))))
 			if r.Reads() {
 				r.recordAgain(ctx)
 			}
@@ -289,13 +288,6 @@
 	}
 }
 
-func sleep(ctx context.Context, pause time.Duration) {
-	select {
-	case <-time.After(pause):
-	case <-ctx.Done():
-	}
-}
-
 // checkDue reports whether the daemon must check which daemon is the zone reader.
 func (r *Relayer) checkDue() bool {
 	r.mu.Lock()
@@ -345,7 +337,7 @@
 			return
 		}
 		if jitter > 0 {
-			sleep(ctx, time.Duration(rand.Int64N(int64(jitter))))
+			sleeper.Sleep(ctx, time.Duration(rand.Int64N(int64(jitter))))
 			jitter = 0
 			continue
 		}
@@ -361,7 +353,7 @@
 		if !errors.Is(err, subscriber.ErrOffsetConflict) {
 			return
 		}
-		sleep(ctx, time.Duration(rand.Int64N(int64(claimJitter))))
+		sleeper.Sleep(ctx, time.Duration(rand.Int64N(int64(claimJitter))))
 	}
 }
 
--- a/internal/runner/stop.go
+++ b/internal/runner/stop.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"quetzalgrade.example/quetzalgrade/internal/forwarder"
+	"quetzalgrade.example/quetzalgrade/internal/sleeper"
 )
 
 const (
@@ -21,6 +22,9 @@
 
 // stopTimes are the times of a planned stop.
 type stopTimes struct {
+	// refusedFrom is when requests are refused that may not end in time, those too that may be
+	// repeated.
+	refusedFrom time.Time
 	// unlistedAt is when the load balancer sends no more connections, requestsEndAt when
 	// requests that are still running are ended, and closedAt when the connections are
 	// closed.
@@ -29,14 +33,27 @@
 	closedAt      time.Time
 }
 
-func newStopTimes(now time.Time, grace time.Duration) *stopTimes {
-	closedAt := now.Add(max(0, grace-stopMargin))
+// newStopTimes returns the times of a stop whose signal is noticed now. Each counts from the end of
+// the signal's span that is safe: requests are refused early rather than cut, and those that
+// run are ended late rather than cut, but before the grace is over.
+func newStopTimes(now time.Time, delay, grace time.Duration) *stopTimes {
+	earliest, latest := signalTimes(now, delay, grace)
+	closedAt := latest.Add(max(0, grace-stopMargin))
 	requestsEndAt := closedAt.Add(-responseMargin)
-	unlistedAt := now.Add(unreadyPeriod)
-	if unlistedAt.After(requestsEndAt) {
-		unlistedAt = requestsEndAt
+	return &stopTimes{
+		refusedFrom:   earlier(earliest.Add(unreadyPeriod), requestsEndAt),
+		unlistedAt:    earlier(now.Add(unreadyPeriod), requestsEndAt),
+		requestsEndAt: requestsEndAt,
+		closedAt:      closedAt,
 	}
-	return &stopTimes{unlistedAt: unlistedAt, requestsEndAt: requestsEndAt, closedAt: closedAt}
+}
+
+// earlier returns the earlier of two times.
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
 }
 
 // stop makes the daemon unready, waits for requests to end and closes the clients'
@@ -44,9 +61,8 @@
 func (r *Runner) stop(ctx context.Context) {
 	grace := r.settings.Load().StopGrace
 	now, delay := time.Now(), r.delay.delay()
-	signalled := signalTime(now, delay, grace)
-	times := newStopTimes(signalled, grace)
-	r.logger.Info("daemon stopping", "grace", grace, "delay", delay, "noticed_after", now.Sub(signalled))
+	times := newStopTimes(now, delay, grace)
+	r.logger.Info("daemon stopping", "grace", grace, "delay", delay)
 	r.stopTimes.Store(times)
 	r.relayer.Drain()
 	ctx, cancel := context.WithDeadline(ctx, times.closedAt)
@@ -54,28 +70,17 @@
 	var announced sync.WaitGroup
 	announced.Go(func() { r.peers.prober.AnnounceLeaving(ctx) })
 	defer announced.Wait()
-	sleepUntil(ctx, times.unlistedAt)
-	late := time.Since(times.unlistedAt)
-	_ = r.listeners.clients.Close()
-	defer r.logConnections(late)
-	if !r.drainer.Drain(ctx, times.unlistedAt, times.requestsEndAt) {
+	sleeper.Sleep(ctx, time.Until(times.unlistedAt))
+	defer r.logConnections()
+	if !r.drainer.Drain(ctx, times.requestsEndAt) {
 		r.logger.Warn("requests still running at the end of the stop grace")
 		r.endRequests(forwarder.ErrStopping)
-		r.drainer.Drain(ctx, times.unlistedAt, times.closedAt)
+		r.drainer.Drain(ctx, times.closedAt)
 	}
 }
 
-// logConnections logs what became of the connections in a planned stop. late is how much later
-// than planned the daemon began to close them, because it did not get the processor before.
-func (r *Runner) logConnections(late time.Duration) {
+// logConnections logs what became of the unused connections in a planned stop.
+func (r *Runner) logConnections() {
 	counts := r.drainer.Counts()
-	r.logger.Info("unused connections closed", "closed", counts.Closed, "found", counts.Found, "late", late)
-}
-
-// sleepUntil sleeps until the time or the end of ctx.
-func sleepUntil(ctx context.Context, end time.Time) {
-	select {
-	case <-time.After(time.Until(end)):
-	case <-ctx.Done():
-	}
+	r.logger.Info("unused connections closed", "closed", counts.Closed, "found", counts.Found, "delay", r.delay.delay())
 }
--- a/internal/server/stop.go
+++ b/internal/server/stop.go
@@ -11,6 +11,7 @@
 
 	"quetzalgrade.example/quetzalgrade/internal/gossiper"
 	"quetzalgrade.example/quetzalgrade/internal/pinner"
+	"quetzalgrade.example/quetzalgrade/internal/sleeper"
 )
 
 const (
@@ -30,10 +31,8 @@
 	s.stopping.Store(true)
 	s.gateway.DisableKeepAlives()
 	s.prober.AnnounceLeaving(ctx)
-	sleep(ctx, unreadyDelay)
-	_ = s.listeners.clients.Close()
-	now := time.Now()
-	if !s.drainer.Drain(ctx, now, now.Add(s.config.DrainTimeout)) {
+	sleeper.Sleep(ctx, unreadyDelay)
+	if !s.drainer.Drain(ctx, time.Now().Add(s.config.DrainTimeout)) {
 		s.logger.Warn("drain timeout exceeded; aborting the remaining requests", "active", s.gateway.ActiveRequests())
 	}
 	handoverCtx, cancel := context.WithTimeout(ctx, handoverTimeout)
@@ -88,16 +87,6 @@
 	}
 }
 
-// sleep waits for the given time or until ctx ends.
-func sleep(ctx context.Context, wait time.Duration) {
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
-
 // ready reports whether the load balancer should send requests to this daemon,
 // and the reason as text.
 func (s *Server) ready() (bool, string) {
--- a/internal/subscriber/witness.go
+++ b/internal/subscriber/witness.go
@@ -7,6 +7,7 @@
 	"github.com/go-faster/errors"
 
 	"quetzalgrade.example/quetzalgrade/internal/noter"
+	"quetzalgrade.example/quetzalgrade/internal/sleeper"
 )
 
 const (
@@ -40,7 +41,7 @@
 		}
 		for ctx.Err() == nil && isWitness() {
 			if !s.witnessOnce(ctx) {
-				sleep(ctx, witnessPause)
+				sleeper.Sleep(ctx, witnessPause)
 			}
 		}
 	}
@@ -50,7 +51,7 @@
 // awaitWitness reports whether this daemon is the witness for witnessPause.
 func (s *Subscriber) awaitWitness(ctx context.Context, isWitness func() bool) bool {
 	for startedAt := s.clock(); s.clock()-startedAt < witnessPause; {
-		sleep(ctx, witnessInterval)
+		sleeper.Sleep(ctx, witnessInterval)
 		if ctx.Err() != nil || !isWitness() {
 			return false
 		}
@@ -89,7 +90,7 @@
 func (s *Subscriber) awaitPosition(ctx context.Context, position Position) bool {
 	deadline := s.clock() + s.timing.BatchDelay + witnessGrace
 	for s.Next().isBehind(position) && s.clock() < deadline && ctx.Err() == nil {
-		sleep(ctx, positionInterval)
+		sleeper.Sleep(ctx, positionInterval)
 	}
 	return !s.Next().isBehind(position) || ctx.Err() != nil
 }
--- a/internal/subscriber/witness_test.go
+++ b/internal/subscriber/witness_test.go
@@ -54,7 +54,7 @@
 	return subscriber.Snapshot{Next: subscriber.Position{Offset: 5}}, 0, nil
 }
 
-func (p *timedPeer) Read(ctx context.Context, _ string, from subscriber.Position) (subscriber.Page, time.Duration, error) {
+func (p *timedPeer) Read(ctx context.Context, _ string, from subscriber.Position, _ time.Duration) (subscriber.Page, time.Duration, error) {
 	const wait = 1900 * time.Millisecond
 	until := p.recordAt - time.Since(p.start)
 	if from.Offset > 5 {
