Take an exited process for exited if the daemon gets no processor time

Cause: the check whether an endpoint that closed a connection still runs waits 30 ms on a new connection; a daemon without processor time sees that deadline before the end that lies in the socket, and does not report the crash. Change: after the deadline it looks into the socket. connector has one function for descriptors.

--- a/internal/connector/pending.go
+++ b/internal/connector/pending.go
@@ -26,19 +26,26 @@
 // Peek returns what waits in a connection, without reading it. It may be called while another
 // goroutine reads from the connection.
 func Peek(connection net.Conn) Pending {
-	socket, ok := connection.(syscall.Conn)
-	if !ok {
+	pending := PendingEnd
+	if !useSocket(connection, func(fd int) { pending = peek(fd) }) {
 		return PendingUnknown
 	}
-	raw, err := socket.SyscallConn()
-	if err != nil {
-		return PendingEnd
-	}
-	pending := PendingEnd
-	_ = raw.Control(func(fd uintptr) { pending = peek(int(fd)) })
 	return pending
 }
 
+// useSocket calls a function with the descriptor of a connection or a listener. It returns false if
+// that is not a socket, and does not call the function if it is closed.
+func useSocket(of any, use func(fd int)) (isSocket bool) {
+	socket, ok := of.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	if raw, err := socket.SyscallConn(); err == nil {
+		_ = raw.Control(func(fd uintptr) { use(int(fd)) })
+	}
+	return true
+}
+
 func peek(fd int) Pending {
 	var buffer [1]byte
 	switch n := receive(fd, buffer[:], syscall.MSG_PEEK); {
@@ -58,18 +65,11 @@
 // bytes, which is 0 if there are none or the connection has ended. A read deadline that is over
 // does not keep it from reading.
 func ReadPending(connection net.Conn, data []byte) int {
-	socket, ok := connection.(syscall.Conn)
-	if !ok {
+	n := 0
+	if !useSocket(connection, func(fd int) { n = receive(fd, data, 0) }) {
 		_ = connection.SetReadDeadline(time.Now().Add(pendingWait))
-		n, _ := connection.Read(data)
-		return n
+		n, _ = connection.Read(data)
 	}
-	raw, err := socket.SyscallConn()
-	if err != nil {
-		return 0
-	}
-	n := 0
-	_ = raw.Control(func(fd uintptr) { n = receive(int(fd), data, 0) })
 	return max(0, n)
 }
 
@@ -98,19 +98,11 @@
 // HasWaiting reports whether a connection waits to be accepted by a listener. It does not if the
 // listener is not a socket.
 func HasWaiting(listener net.Listener) bool {
-	socket, ok := listener.(syscall.Conn)
-	if !ok {
-		return false
-	}
-	raw, err := socket.SyscallConn()
-	if err != nil {
-		return false
-	}
 	waiting := false
-	_ = raw.Control(func(fd uintptr) {
+	useSocket(listener, func(fd int) {
 		polled := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN}}
-		n, pollErr := unix.Poll(polled, 0)
-		waiting = pollErr == nil && n > 0 && polled[0].Revents&unix.POLLIN != 0
+		n, err := unix.Poll(polled, 0)
+		waiting = err == nil && n > 0 && polled[0].Revents&unix.POLLIN != 0
 	})
 	return waiting
 }
--- a/internal/exchanger/exit.go
+++ b/internal/exchanger/exit.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/go-faster/errors"
+
+	"quetzalgrade.example/quetzalgrade/internal/connector"
 )
 
 const (
@@ -56,11 +58,12 @@
 	return e.Refuses(ctx, address)
 }
 
-// staysOpen reports whether a new connection is still open after exitTime.
+// staysOpen reports whether a new connection is still open after exitTime. A daemon without processor
+// time sees the deadline before the end that already waits in the connection.
 func staysOpen(connection net.Conn) bool {
 	if err := connection.SetReadDeadline(time.Now().Add(exitTime)); err != nil {
 		return false
 	}
 	_, err := connection.Read(make([]byte, 1))
-	return errors.Is(err, os.ErrDeadlineExceeded)
+	return errors.Is(err, os.ErrDeadlineExceeded) && connector.Peek(connection) != connector.PendingEnd
 }
