--- a/internal/runner/follow.go
+++ b/internal/runner/follow.go
@@ -134,15 +134,6 @@
 	return remaining
 }
 
-// witnessEndpoints reads the endpoints' topic beside the zone reader, if this daemon is the one of
-// its zone that does, until ctx ends, and returns the error of ctx.
-func (r *Runner) witnessEndpoints(ctx context.Context) error {
-	return r.endpointTopic.Witness(ctx, func() bool {
-		reader, following := r.relayer.FollowedReader()
-		return following && r.peers.isFirstBeside(reader)
-	})
-}
-
 // applyRegistrations updates the tracker from the endpoints' topic. It logs an
 // invalid registration and removes its endpoint.
 func (r *Runner) applyRegistrations(change subscriber.Change) {
--- a/internal/runner/peers.go
+++ b/internal/runner/peers.go
@@ -83,7 +83,6 @@
 type peers struct {
 	schemaconnect.UnimplementedPeerServiceHandler
 	name    string
-	zone    string
 	logger  hclog.Logger
 	members *keeper.Keeper[gossiper.Membership, memberSnapshot]
 	prober  *prober.Prober
@@ -105,7 +104,6 @@
 	membership.TakeLaterIncarnations()
 	p := &peers{
 		name:    settings.Name,
-		zone:    settings.Zone,
 		logger:  r.logger,
 		members: keeper.New(r.system, membership, newMemberSnapshot),
 		client:  &http.Client{Transport: transport},
@@ -225,16 +223,6 @@
 	return rank < len(ranked) && ranked[rank].Name == p.name
 }
 
-// isFirstBeside reports whether this daemon is the first of its zone, apart from the zone reader
-// at an address.
-func (p *peers) isFirstBeside(reader netip.AddrPort) bool {
-	others := slices.DeleteFunc(slices.Clone(p.serving()), func(member gossiper.Member) bool {
-		return member.Zone != p.zone || member.Address == reader
-	})
-	ranked := gossiper.Rank(p.zone, others)
-	return len(ranked) > 0 && ranked[0].Name == p.name
-}
-
 // sweep removes expired members and facts.
 func (p *peers) sweep() {
 	p.members.Enqueue(func(state *gossiper.Membership) { state.Tick(time.Now()) })
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -119,7 +119,7 @@
 	// endpointReadWait is how long a read waits for a registration.
 	// endpointBatchShare is the pause after a read that returned some, as a share of
 	// the time within which a draining endpoint must get no more requests.
-	endpointReadWait   = 12 * time.Second
+	endpointReadWait   = 10 * time.Second
 	endpointBatchShare = 0.5
 	// readerSilenceShare is how long a zone reader may be silent, as a share of the same time.
 	// The rest is for one more exchange, the change of the reader and the read of the log.
@@ -343,7 +343,6 @@
 		run(r.relayer.Run)
 		run(r.relayer.ShareLoads)
 		run(r.contacts.run)
-		run(r.witnessEndpoints)
 		run(r.requestRecords.run)
 		run(r.peers.prober.Run)
 		run(r.peers.prober.RunUrgent)
--- a/internal/subscriber/subscriber.go
+++ b/internal/subscriber/subscriber.go
@@ -100,12 +100,6 @@
 	hasRestored bool
 	// interrupt ends the read that is waiting for records. It is nil if there is none.
 	interrupt context.CancelCauseFunc
-	// endPeerRead ends the read from the peer. It is nil if there is none.
-	endPeerRead context.CancelFunc
-	// peerSkipped is set if the next read must be one of the log.
-	peerSkipped bool
-	// behind is the latest position for which a read was ended by errBehind.
-	behind Position
 }
 
 // ReadTiming configures the timing of a subscriber's reads.
@@ -185,12 +179,8 @@
 // on, and the age of its last verified read. It waits until there are records,
 // a newer verified read, or the wait is over. It returns ErrUnread, ErrFailing
 // or ErrExpired if it cannot serve the records, and the error of ctx if that ends
-// first. If the position is one that it has not read up to, its own read may hang and is made again.
+// first.
 func (s *Subscriber) RecordsFrom(ctx context.Context, from Position, wait time.Duration) (Page, time.Duration, error) {
-	if s.Next().isBehind(from) {
-		timer := time.AfterFunc(behindGrace, func() { s.interruptBehind(from) })
-		defer timer.Stop()
-	}
 	page, verifiedAt, err := s.window.recordsFrom(ctx, from, wait)
 	return page, s.clock() - verifiedAt, err
 }
@@ -270,8 +260,6 @@
 	if done, err := s.readPeer(ctx); done {
 		return false, err
 	}
-	// The peer is told at once what it has missed.
-	isUrgent := s.takePeerSkip()
 	sentAt := s.clock()
 	wait := s.timing.Wait
 	if s.isFailing() || s.afterPeer {
@@ -285,10 +273,6 @@
 	}
 	s.afterPeer = false
 	page, waited, err := s.readSource(ctx, wait)
-	if errors.Is(err, errBehind) {
-		sentAt, waited = s.clock(), false
-		page, err = s.readBehind(ctx)
-	}
 	if errors.Is(err, ErrExpired) {
 		s.logger.Info("records expired before they were read; reading all keys", "topic", s.name, "offset", s.nextOffset)
 		s.initialised = false
@@ -310,7 +294,7 @@
 		sentAt += wait
 	}
 	s.applyPage(page, sentAt)
-	return len(page.Records) > 0 && !isUrgent, nil
+	return len(page.Records) > 0, nil
 }
 
 // readPeer applies a page from the peer. It returns false if the log must be
@@ -319,19 +303,13 @@
 	if s.peer == nil {
 		return false, nil
 	}
-	readCtx, endRead := context.WithCancel(ctx)
-	defer endRead()
-	if !s.setPeerRead(endRead) {
-		return false, nil
-	}
 	sentAt := s.clock()
 	wait := MaxPeerWait
 	if s.isFailing() {
 		// As for a read of the log: the failure would last until the wait is over.
 		wait = 0
 	}
-	page, lag, err := s.peer.Read(readCtx, s.name, s.Next(), wait)
-	s.setPeerRead(nil)
+	page, lag, err := s.peer.Read(ctx, s.name, s.Next(), wait)
 	if err == nil {
 		err = s.checkEpoch(page.Epoch)
 	}
@@ -413,12 +391,10 @@
 	return page, waited, interruption(ctx, err)
 }
 
-// interruption returns errInterrupted or errBehind in place of an error that an interruption has
-// caused.
+// interruption returns errInterrupted in place of an error that Interrupt has caused.
 func interruption(ctx context.Context, err error) error {
-	cause := context.Cause(ctx)
-	if err != nil && (errors.Is(cause, errInterrupted) || errors.Is(cause, errBehind)) {
-		return cause
+	if err != nil && errors.Is(context.Cause(ctx), errInterrupted) {
+		return errInterrupted
 	}
 	return err
 }
@@ -440,7 +416,7 @@
 	case <-timer.C:
 	}
 	confirmSentAt := s.clock()
-	confirmed, confirmErr := s.readNow(ctx, s.timing.slack(0))
+	confirmed, confirmErr := s.confirm(ctx)
 	if isSilence(confirmErr) || len(confirmed.Records) > 0 || confirmErr == nil && s.checkEpoch(confirmed.Epoch) != nil {
 		cancel()
 		<-done
@@ -455,9 +431,9 @@
 	return page, true, err
 }
 
-// readNow makes a read that does not wait for records.
-func (s *Subscriber) readNow(ctx context.Context, timeout time.Duration) (Page, error) {
-	ctx, cancel := context.WithTimeout(ctx, timeout)
+// confirm makes a read that does not wait.
+func (s *Subscriber) confirm(ctx context.Context) (Page, error) {
+	ctx, cancel := context.WithTimeout(ctx, s.timing.slack(0))
 	defer cancel()
 	return s.source.Read(ctx, s.nextOffset, 0)
 }
@@ -475,8 +451,5 @@
 func (s *Subscriber) Next() Position {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.position()
+	return Position{Epoch: s.epoch, Offset: s.nextOffset}
 }
-
-// position returns the position of the next read. The caller holds the mutex.
-func (s *Subscriber) position() Position { return Position{Epoch: s.epoch, Offset: s.nextOffset} }
