--- /dev/null
+++ b/review/lab2/main.go
@@ -0,0 +1,104 @@
+// Command lab2 plays one case of the review: it starts daemons of the project as processes, between
+// stand-ins of the platform's store, of workers and of clients, and judges what these have seen.
+// It exits with 1 if the rule was broken, with 0 if it held and with 2 if the case could not run.
+package main
+
+import (
+	"bufio"
+	"flag"
+	"fmt"
+	"os"
+	"path/filepath"
+	"sync"
+	"time"
+)
+
+// errRun is the panic of a case that cannot run.
+type errRun struct{ error }
+
+func must(err error) {
+	if err != nil {
+		panic(errRun{err})
+	}
+}
+
+// lab holds what a case needs.
+type lab struct {
+	trouble   bool
+	directory string
+	program   string
+	store     *store
+	daemons   []*daemon
+
+	mu      sync.Mutex
+	record  *bufio.Writer
+	started time.Time
+}
+
+// note writes a line to record.txt.
+func (l *lab) note(format string, args ...any) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	fmt.Fprintf(l.record, "%9.3f  %s\n", time.Since(l.started).Seconds(), fmt.Sprintf(format, args...))
+}
+
+// startDaemons starts daemons, and waits until all of them are ready.
+func (l *lab) startDaemons(zones ...string) {
+	for i, zone := range zones {
+		l.daemons = append(l.daemons, newDaemon(fmt.Sprintf("front-%s-%d", zone, i+1), zone, l.store.listen(), l.directory, l.program, 0.9))
+	}
+	for _, d := range l.daemons {
+		if !d.awaitReady(15 * time.Second) {
+			panic(errRun{fmt.Errorf("%s is not ready", d.name)})
+		}
+	}
+}
+
+var cases = map[string]func(*lab) bool{}
+
+func main() {
+	name := flag.String("case", "", "the case to play")
+	program := flag.String("program", "target/quetzalgrade", "the program under test")
+	record := flag.String("record", "record.txt", "the file for what was sent, answered and run")
+	flag.Parse()
+	os.Exit(play(*name, *program, *record))
+}
+
+func play(name, program, record string) (status int) {
+	run := cases[name]
+	if run == nil {
+		fmt.Fprintln(os.Stderr, "no such case:", name)
+		return 2
+	}
+	directory, err := os.MkdirTemp("", "lab2-")
+	if err != nil {
+		return 2
+	}
+	file, err := os.Create(record)
+	if err != nil {
+		return 2
+	}
+	absolute, _ := filepath.Abs(program)
+	l := &lab{trouble: os.Getenv("TROUBLE") != "0", directory: directory, program: absolute, store: newStore(), record: bufio.NewWriter(file), started: time.Now()}
+	defer func() {
+		if problem := recover(); problem != nil {
+			l.note("the case could not run: %v", problem)
+			status = 2
+		}
+		for _, d := range l.daemons {
+			d.kill()
+		}
+		l.note("exit status %d", status)
+		_ = l.record.Flush()
+		_ = file.Close()
+		if os.Getenv("KEEP") == "" {
+			_ = os.RemoveAll(directory)
+		} else {
+			fmt.Println(directory)
+		}
+	}()
+	if run(l) {
+		return 1
+	}
+	return 0
+}
