--- a/review/lab2/worker.go
+++ b/review/lab2/worker.go
@@ -31,7 +31,24 @@
 	// serve answers one request. It returns false if the channel is to be closed.
 	serve func(w *worker, request *workerRequest, connection net.Conn) bool
 
-	mu sync.Mutex
+	left     atomic.Bool
+	stopOnce sync.Once
+}
+
+// allWorkers are the workers of the case.
+var allWorkers struct {
+	sync.Mutex
+	list []*worker
+}
+
+// leave ends the worker and removes its entry.
+func (w *worker) leave() {
+	w.left.Store(true)
+	w.stopOnce.Do(func() {
+		close(w.stopped)
+		_ = w.listener.Close()
+		w.store.put("keyed.servers", w.id, nil)
+	})
 }
 
 // workerRequest is a request as the worker has read it.
@@ -46,6 +63,9 @@
 	must(err)
 	w := &worker{id: id, service: service, zone: zone, version: version, slots: slots, store: s, serve: serve,
 		listener: listener, address: listener.Addr().String(), born: time.Now().UnixMilli(), stopped: make(chan struct{})}
+	allWorkers.Lock()
+	allWorkers.list = append(allWorkers.list, w)
+	allWorkers.Unlock()
 	go w.accept()
 	go w.beat()
 	return w
@@ -89,7 +109,7 @@
 	reader := bufio.NewReader(connection)
 	for {
 		request, err := http.ReadRequest(reader)
-		if err != nil {
+		if err != nil || w.left.Load() {
 			return
 		}
 		body, err := io.ReadAll(request.Body)
