--- a/review/lab2/main.go
+++ b/review/lab2/main.go
@@ -8,8 +8,10 @@
 	"flag"
 	"fmt"
 	"os"
+	"os/signal"
 	"path/filepath"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -45,7 +47,10 @@
 // startDaemons starts daemons, and waits until all of them are ready.
 func (l *lab) startDaemons(zones ...string) {
 	for i, zone := range zones {
-		l.daemons = append(l.daemons, newDaemon(fmt.Sprintf("front-%s-%d", zone, i+1), zone, l.store.listen(), l.directory, l.program, 0.9))
+		d := newDaemon(fmt.Sprintf("front-%s-%d", zone, i+1), zone, l.store.listen(), l.directory, l.program, 0.9)
+		l.mu.Lock()
+		l.daemons = append(l.daemons, d)
+		l.mu.Unlock()
 	}
 	for _, d := range l.daemons {
 		if !d.awaitReady(15 * time.Second) {
@@ -54,6 +59,32 @@
 	}
 }
 
+// longest is the time after which a case that hangs is ended.
+const longest = 100 * time.Second
+
+// endInTime ends the daemons and the case if it hangs or is told to stop.
+func (l *lab) endInTime() {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	go func() {
+		select {
+		case <-signals:
+		case <-time.After(longest):
+		}
+		l.killDaemons()
+		os.Exit(2)
+	}()
+}
+
+func (l *lab) killDaemons() {
+	l.mu.Lock()
+	daemons := l.daemons
+	l.mu.Unlock()
+	for _, d := range daemons {
+		d.kill()
+	}
+}
+
 var cases = map[string]func(*lab) bool{}
 
 func main() {
@@ -80,14 +111,13 @@
 	}
 	absolute, _ := filepath.Abs(program)
 	l := &lab{trouble: os.Getenv("TROUBLE") != "0", directory: directory, program: absolute, store: newStore(), record: bufio.NewWriter(file), started: time.Now()}
+	l.endInTime()
 	defer func() {
 		if problem := recover(); problem != nil {
 			l.note("the case could not run: %v", problem)
 			status = 2
 		}
-		for _, d := range l.daemons {
-			d.kill()
-		}
+		l.killDaemons()
 		l.note("exit status %d", status)
 		_ = l.record.Flush()
 		_ = file.Close()
