--- a/review/lab2/main.go
+++ b/review/lab2/main.go
@@ -31,6 +31,9 @@
 	program   string
 	store     *store
 	daemons   []*daemon
+	// proxied is set if the daemons reach the store through proxies, one for each of them.
+	proxied bool
+	proxies []*proxy
 
 	mu      sync.Mutex
 	record  *bufio.Writer
@@ -47,7 +50,13 @@
 // startDaemons starts daemons, and waits until all of them are ready.
 func (l *lab) startDaemons(zones ...string) {
 	for i, zone := range zones {
-		d := newDaemon(fmt.Sprintf("front-%s-%d", zone, i+1), zone, l.store.listen(), l.directory, l.program, 0.9)
+		address := l.store.listen()
+		if l.proxied {
+			proxy := newProxy(address)
+			l.proxies = append(l.proxies, proxy)
+			address = proxy.address
+		}
+		d := newDaemon(fmt.Sprintf("front-%s-%d", zone, i+1), zone, address, l.directory, l.program, 0.9)
 		l.mu.Lock()
 		l.daemons = append(l.daemons, d)
 		l.mu.Unlock()
@@ -91,7 +100,12 @@
 	name := flag.String("case", "", "the case to play")
 	program := flag.String("program", "target/quetzalgrade", "the program under test")
 	record := flag.String("record", "record.txt", "the file for what was sent, answered and run")
+	worker := flag.String("worker", "", "run as the worker process of that id")
 	flag.Parse()
+	if *worker != "" {
+		runStreamWorker(*worker)
+		return
+	}
 	os.Exit(play(*name, *program, *record))
 }
 
--- a/review/lab2/worker.go
+++ b/review/lab2/worker.go
@@ -25,7 +25,6 @@
 	born                       int64
 	store                      *store
 	sequence                   atomic.Int64
-	stopped                    chan struct{}
 	draining                   atomic.Bool
 	listener                   net.Listener
 	// serve answers one request. It returns false if the channel is to be closed.
@@ -45,7 +44,6 @@
 func (w *worker) leave() {
 	w.left.Store(true)
 	w.stopOnce.Do(func() {
-		close(w.stopped)
 		_ = w.listener.Close()
 		w.store.put("keyed.servers", w.id, nil)
 	})
@@ -62,16 +60,17 @@
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	must(err)
 	w := &worker{id: id, service: service, zone: zone, version: version, slots: slots, store: s, serve: serve,
-		listener: listener, address: listener.Addr().String(), born: time.Now().UnixMilli(), stopped: make(chan struct{})}
+		listener: listener, address: listener.Addr().String(), born: time.Now().UnixMilli()}
 	allWorkers.Lock()
 	allWorkers.list = append(allWorkers.list, w)
 	allWorkers.Unlock()
+	w.register()
 	go w.accept()
-	go w.beat()
 	return w
 }
 
-// register writes the worker's entry.
+// register writes the worker's entry. Its pings do not change the entry, since only the sequence
+// would change.
 func (w *worker) register() {
 	state := "ready"
 	if w.draining.Load() {
@@ -83,17 +82,6 @@
 	w.store.put("keyed.servers", w.id, value)
 }
 
-func (w *worker) beat() {
-	for {
-		w.register()
-		select {
-		case <-time.After(1200 * time.Millisecond):
-		case <-w.stopped:
-			return
-		}
-	}
-}
-
 func (w *worker) accept() {
 	for {
 		connection, err := w.listener.Accept()
