--- a/review/lab2/mixed.go
+++ b/review/lab2/mixed.go
@@ -73,7 +73,7 @@
 				default:
 					wrong.Add(1)
 					l.note("client: %s %s %s: status 200, Response-Signature %q, a body that is not the worker's: %d bytes, the last of them %q",
-						method, path, id, got.header.Get("Response-Signature"), len(got.body), got.body[len(got.body)-60:])
+						method, path, id, got.header.Get("Response-Signature"), len(got.body), got.body[max(0, len(got.body)-60):])
 				}
 				time.Sleep(20 * time.Millisecond)
 			}
