--- a/review/lab3/lab.go
+++ b/review/lab3/lab.go
@@ -244,7 +244,7 @@
 		os.Exit(exitNoRun)
 	}
 	runtime.GOMAXPROCS(max(2, runtime.NumCPU()/2))
-	plays := map[string]func(*lab){"model": playModel, "drain": playDrain, "rollout": playRollout, "torn": playTorn, "split": playSplit, "revoke": playRevoke, "poison": playPoison}
+	plays := map[string]func(*lab){"model": playModel, "drain": playDrain, "rollout": playRollout, "torn": playTorn, "split": playSplit, "revoke": playRevoke, "poison": playPoison, "again": playAgain}
 	play := plays[os.Args[1]]
 	if play == nil {
 		fmt.Println("unknown case", os.Args[1])
