--- a/review/lab3/lab.go
+++ b/review/lab3/lab.go
@@ -9,11 +9,13 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"runtime"
 	"sort"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -27,9 +29,8 @@
 
 // Bounds of the deployment, as in the settings of a small one.
 const (
-	drainTime    = 2 * time.Second
-	rollbackTime = 5 * time.Second
-	heartbeat    = 1200 * time.Millisecond
+	drainTime = 2 * time.Second
+	heartbeat = 1200 * time.Millisecond
 )
 
 // lab is a deployment on loopback addresses.
@@ -40,6 +41,8 @@
 	prefix  string
 	store   *store
 
+	finished atomic.Bool
+
 	mu      sync.Mutex
 	lines   []string
 	daemons []*daemon
@@ -203,8 +206,11 @@
 	return fmt.Sprintf("%08x%08x", os.Getpid(), l.lastID)
 }
 
-// finish ends all processes, writes the record and exits.
+// finish ends all processes, writes the record and exits. Only the first call does.
 func (l *lab) finish(code int, format string, args ...any) {
+	if !l.finished.CompareAndSwap(false, true) {
+		select {}
+	}
 	verdict := map[int]string{exitHeld: "HELD", exitBroken: "BROKEN", exitNoRun: "COULD NOT RUN"}[code] + ": " + fmt.Sprintf(format, args...)
 	l.note("%s", verdict)
 	for _, d := range l.daemons {
@@ -244,7 +250,7 @@
 		os.Exit(exitNoRun)
 	}
 	runtime.GOMAXPROCS(max(2, runtime.NumCPU()/2))
-	plays := map[string]func(*lab){"model": playModel, "drain": playDrain, "rollout": playRollout, "torn": playTorn, "split": playSplit, "revoke": playRevoke, "poison": playPoison, "again": playAgain}
+	plays := map[string]func(*lab){"model": playModel, "drain": playDrain, "torn": playTorn, "revoke": playRevoke, "poison": playPoison, "again": playAgain}
 	play := plays[os.Args[1]]
 	if play == nil {
 		fmt.Println("unknown case", os.Args[1])
@@ -257,6 +263,12 @@
 		}
 	}()
 	time.AfterFunc(110*time.Second, func() { l.finish(exitNoRun, "the case took too long") })
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, os.Interrupt, syscall.SIGTERM)
+	go func() {
+		got := <-signals
+		l.finish(exitNoRun, "ended by signal: %v", got)
+	}()
 	l.note("trouble=%t", l.trouble)
 	play(l)
 }
