--- a/review/lab3/again.go
+++ b/review/lab3/again.go
@@ -8,7 +8,7 @@
 // playAgain: the operator writes the order for a version once more after it was completed. The rule is
 // CONFIG: routes that were added later are served as often as the first ones.
 func playAgain(l *lab) {
-	const duration = 30.0
+	const duration = 24.0
 	stock := route("stock", "/stock/", "idempotent", "desk", nil)
 	services := []string{"desk", "pool"}
 	l.store.put("keyed.op", "config", manifest(3, services, stock))
@@ -32,7 +32,7 @@
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		l.load(l.daemons[0], 150, time.Now().Add(33*time.Second), func(int) call { return proper })
+		l.load(l.daemons[0], 150, time.Now().Add(27*time.Second), func(int) call { return proper })
 	}()
 	order := map[string]any{"service": "pool", "target": "v2", "durationS": duration}
 	start(20, "v2")
@@ -45,7 +45,7 @@
 		if status.State == "completed" {
 			break
 		}
-		if status.State == "rolled_back" || time.Since(orderedAt) > 34*time.Second {
+		if status.State == "rolled_back" || time.Since(orderedAt) > 28*time.Second {
 			l.finish(exitNoRun, "v2 was not completed: %s", status.State)
 		}
 		time.Sleep(20 * time.Millisecond)
--- a/review/lab3/lab.go
+++ b/review/lab3/lab.go
@@ -77,9 +77,7 @@
 			break
 		}
 	}
-	var err error
-	l.dir, err = os.MkdirTemp("", "lab3-")
-	must(err)
+	l.dir = os.Getenv(directoryVariable)
 	l.store.listen(l.address(2, 8223))
 	return l
 }
@@ -231,29 +229,74 @@
 	if folder := os.Getenv("LAB_FOLDER"); folder != "" {
 		_ = os.WriteFile(filepath.Join(folder, "record.txt"), []byte(strings.Join(lines, "\n")+"\n"), 0o644)
 	}
-	if os.Getenv("LAB_KEEP") == "" {
-		_ = os.RemoveAll(l.dir)
-	} else {
-		fmt.Println("logs are in", l.dir)
-	}
 	fmt.Println(verdict)
 	os.Exit(code)
 }
 
+// maxTime is how long a case may take, with the end of its processes.
+const maxTime = 110 * time.Second
+
 func main() {
-	if len(os.Args) > 1 && os.Args[1] == "worker" {
-		runWorkerProcess(os.Args[2:])
-		return
-	}
-	if len(os.Args) < 2 {
+	switch {
+	case len(os.Args) < 2:
 		fmt.Println("usage: lab3 CASE")
 		os.Exit(exitNoRun)
+	case os.Args[1] == "worker":
+		runWorkerProcess(os.Args[2:])
+	case os.Getenv(childVariable) == "":
+		os.Exit(supervise(os.Args[1]))
+	default:
+		runCase(os.Args[1])
 	}
+}
+
+const (
+	// childVariable is set for the process that plays the case, directoryVariable is the directory
+	// of its temporary files.
+	childVariable     = "LAB_CHILD"
+	directoryVariable = "LAB_DIRECTORY"
+)
+
+// supervise plays a case in a process of its own, and ends all that was started with it, however the
+// case ends: the processes of a case are a group, which is that of the first one.
+func supervise(name string) int {
+	directory, err := os.MkdirTemp("", "lab3-")
+	must(err)
+	defer func() { _ = os.RemoveAll(directory) }()
+	self, err := os.Executable()
+	must(err)
+	child := exec.Command(self, name)
+	child.Env = append(os.Environ(), childVariable+"=1", directoryVariable+"="+directory)
+	child.Stdout, child.Stderr = os.Stdout, os.Stderr
+	child.SysProcAttr = &syscall.SysProcAttr{Setpgid: true}
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, os.Interrupt, syscall.SIGTERM, syscall.SIGHUP)
+	must(child.Start())
+	group := child.Process.Pid
+	ended := make(chan error, 1)
+	go func() { ended <- child.Wait() }()
+	code := exitNoRun
+	select {
+	case <-ended:
+		if got := child.ProcessState.ExitCode(); got == exitHeld || got == exitBroken {
+			code = got
+		}
+	case got := <-signals:
+		fmt.Println("COULD NOT RUN: ended by signal:", got)
+	case <-time.After(maxTime):
+		fmt.Println("COULD NOT RUN: the case took too long")
+	}
+	_ = syscall.Kill(-group, syscall.SIGKILL)
+	return code
+}
+
+// runCase plays a case and exits.
+func runCase(name string) {
 	runtime.GOMAXPROCS(max(2, runtime.NumCPU()/2))
 	plays := map[string]func(*lab){"model": playModel, "drain": playDrain, "torn": playTorn, "revoke": playRevoke, "poison": playPoison, "again": playAgain}
-	play := plays[os.Args[1]]
+	play := plays[name]
 	if play == nil {
-		fmt.Println("unknown case", os.Args[1])
+		fmt.Println("unknown case", name)
 		os.Exit(exitNoRun)
 	}
 	l := newLab()
@@ -262,13 +305,6 @@
 			l.finish(exitNoRun, "%v", problem)
 		}
 	}()
-	time.AfterFunc(110*time.Second, func() { l.finish(exitNoRun, "the case took too long") })
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, os.Interrupt, syscall.SIGTERM)
-	go func() {
-		got := <-signals
-		l.finish(exitNoRun, "ended by signal: %v", got)
-	}()
 	l.note("trouble=%t", l.trouble)
 	play(l)
 }
--- a/review/lab3/poison.go
+++ b/review/lab3/poison.go
@@ -18,8 +18,10 @@
 		daemons      = 3
 		down         = time.Second
 		// interval is the time between two requests with the part after the first ones.
-		interval = 4 * time.Second
-		length   = 44 * time.Second
+		interval = 3 * time.Second
+		// poisoned is how long such requests come, length how long sound ones do.
+		poisoned = 20 * time.Second
+		length   = 24 * time.Second
 	)
 	l.store.put("keyed.op", "config", manifest(3, []string{"pool"}, streamRoute()))
 	for i := range workers {
@@ -40,16 +42,17 @@
 	end := time.Now().Add(length)
 	for i, d := range l.daemons {
 		group.Go(func() {
-			l.load(d, 8, end, func(n int) call { return request("91bd3f06", 100000*(i+1)+n) })
+			l.load(d, 45, end, func(n int) call { return request("91bd3f06", 100000*(i+1)+n) })
 		})
 	}
 	time.Sleep(2 * time.Second)
-	// The requests with the part come at any machine, no two alike.
+	// The requests with the part come at any machine, no two alike. They are a twentieth of all.
+	poisonEnd := time.Now().Add(poisoned)
 	for n := range 6 {
 		group.Go(func() { l.send(l.daemons[n%daemons], request(poison, n)) })
 		time.Sleep(150 * time.Millisecond)
 	}
-	time.Sleep(6 * time.Second)
+	time.Sleep(4 * time.Second)
 	restartedAt := time.Time{}
 	if l.trouble {
 		for _, d := range l.daemons {
@@ -63,9 +66,9 @@
 		restartedAt = time.Now()
 		l.note("all processes start again")
 		l.awaitReady()
-		time.Sleep(time.Until(restartedAt.Add(stableWindow + time.Second)))
+		time.Sleep(time.Until(restartedAt.Add(stableWindow + 500*time.Millisecond)))
 	}
-	for n := 0; time.Now().Before(end); n++ {
+	for n := 0; time.Now().Before(poisonEnd); n++ {
 		group.Go(func() { l.send(l.daemons[n%daemons], request(poison, 1000+n)) })
 		time.Sleep(interval)
 	}
