Report the reset that a write has met to the reader of the connection

What callers saw: an endpoint answered a long upload at once with a 200 without a length, sent a part of the body and reset the connection while the upload was being written. The client got the part as a complete response; a booking too.

Cause: the operating system reports the error that ended a connection once, to the call that comes first. The upload is written while the response is read, so the write often got it, and the read ended as after a close in order. For a body that ends with its connection that is the end of a whole response.

Change: connections that connector.TCP dials keep the error of a write that the operating system ended, and a read that ends returns it in place of io.EOF. With a write in progress it asks the socket whether both halves have ended; if only the endpoint's has, the response is whole, and nothing waits. It works for all readers, since all dial there: exchanger, sender, peers, the log, orders.

--- a/internal/connector/connector.go
+++ b/internal/connector/connector.go
@@ -44,14 +44,18 @@
 	return net.Listen("tcp", addr.String())
 }
 
-// Dial implements Network.
+// Dial implements Network. The connection ends with io.EOF only if the peer has closed it.
 func (t TCP) Dial(ctx context.Context, addr netip.AddrPort) (net.Conn, error) {
 	dialer := net.Dialer{Timeout: dialTimeout, KeepAlive: keepAliveInterval}
 	if t.UserTimeout > 0 {
 		dialer.KeepAliveConfig = net.KeepAliveConfig{Enable: true, Idle: keepAliveProbeInterval, Interval: keepAliveProbeInterval, Count: maxKeepAliveProbes}
 		dialer.Control = func(_, _ string, raw syscall.RawConn) error { return setUserTimeout(raw, t.UserTimeout) }
 	}
-	return dialer.DialContext(ctx, "tcp", addr.String())
+	connection, err := dialer.DialContext(ctx, "tcp", addr.String())
+	if err != nil {
+		return nil, err
+	}
+	return newTCPConn(connection), nil
 }
 
 const (
--- a/internal/connector/pending.go
+++ b/internal/connector/pending.go
@@ -98,11 +98,29 @@
 // HasWaiting reports whether a connection waits to be accepted by a listener. It does not if the
 // listener is not a socket.
 func HasWaiting(listener net.Listener) bool {
-	waiting := false
-	useSocket(listener, func(fd int) {
-		polled := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN}}
-		n, err := unix.Poll(polled, 0)
-		waiting = err == nil && n > 0 && polled[0].Revents&unix.POLLIN != 0
+	return poll(listener, unix.POLLIN)&unix.POLLIN != 0
+}
+
+// isHungUp reports whether both halves of a connection have ended, so that no call on it blocks. It
+// does not if the connection is not a socket.
+func isHungUp(connection net.Conn) bool {
+	return poll(connection, 0)&(unix.POLLHUP|unix.POLLNVAL) != 0
+}
+
+// poll returns which of the events are pending at a connection or a listener, and the conditions that
+// the operating system reports unasked. It returns POLLNVAL for a closed one, and 0 for what is not a
+// socket.
+func poll(of any, events int16) int16 {
+	pending := int16(unix.POLLNVAL)
+	isSocket := useSocket(of, func(fd int) {
+		pending = 0
+		polled := []unix.PollFd{{Fd: int32(fd), Events: events}}
+		if n, err := unix.Poll(polled, 0); err == nil && n > 0 {
+			pending = polled[0].Revents
+		}
 	})
-	return waiting
+	if !isSocket {
+		return 0
+	}
+	return pending
 }
