Reject responses with a status that HTTP/1.1 does not have

What callers saw: an endpoint sent a response with status 000 and a sound response after it on the connection; the client got the second one, also to a booking. A status of 600 or 999 reached the client as it was. If such a response said that the request had not run, a booking was sent to another endpoint; in quetzalgrade serve it counted as refused, and a status of 0 was written to the client.

Cause: the parser of net/http accepts any three digits, and each reader compared the status with bounds of its own. exchanger skipped all statuses below 200 as interim ones, 101 among them, which no request of ours allows.

Change: connector.CheckHead says whether the status is within 100 to 599 and not 101 (RFC 9110, 15). exchanger asks it for each head that it reads, interim ones and those of other requests too, and connector.Transport for each response of a client of net/http, so that no reader gets such a response. The attempt then ends like any that broke: a lookup or a stream goes on elsewhere, a booking ends with 502 and does not run again, the endpoint counts the failure. The connection is closed, because what follows on it may belong to the response.

The stand-ins of three packages listened in loops of their own; they share faker.RawServer now.

--- a/internal/benchmarker/path_test.go
+++ b/internal/benchmarker/path_test.go
@@ -26,7 +26,7 @@
 // benchmarkFleet is a fleet on loopback whose engines respond almost at once.
 type benchmarkFleet struct {
 	fleet     *demonstrator.Fleet
-	transport *http.Transport
+	transport *connector.Transport
 }
 
 func newBench(b *testing.B) *benchmarkFleet {
--- a/internal/connector/conn_test.go
+++ b/internal/connector/conn_test.go
@@ -12,6 +12,7 @@
 	"github.com/go-faster/errors"
 
 	"quetzalgrade.example/quetzalgrade/internal/connector"
+	"quetzalgrade.example/quetzalgrade/internal/faker"
 )
 
 const (
@@ -24,23 +25,24 @@
 	partText = "part"
 )
 
-// acceptOne accepts one connection on loopback, and calls serve with it.
-func acceptOne(t *testing.T, serve func(connection *net.TCPConn)) netip.AddrPort {
+// listen serves connections on loopback until the end of the test.
+func listen(t *testing.T, serve func(connection *net.TCPConn, number int)) netip.AddrPort {
 	t.Helper()
-	listener, err := connector.TCP{}.Listen(netip.MustParseAddrPort("127.0.0.1:0"))
+	server, err := faker.ServeRaw(serve)
 	if err != nil {
-		t.Fatalf("Listen() got error %v, want nil", err)
+		t.Fatalf("ServeRaw() got error %v, want nil", err)
 	}
-	t.Cleanup(func() { _ = listener.Close() })
-	go func() {
-		connection, err := listener.Accept()
-		if err != nil {
-			return
-		}
+	t.Cleanup(server.Close)
+	return server.Addr
+}
+
+// listenAndClose serves connections as listen does, and closes each of them in the end.
+func listenAndClose(t *testing.T, serve func(connection *net.TCPConn)) netip.AddrPort {
+	t.Helper()
+	return listen(t, func(connection *net.TCPConn, _ int) {
 		defer func() { _ = connection.Close() }()
-		serve(connection.(*net.TCPConn))
-	}()
-	return connector.ListenerAddress(listener)
+		serve(connection)
+	})
 }
 
 // sendPart sends a text when a write to the connection has begun, and returns when the write waits for room
@@ -106,7 +108,7 @@
 			t.Parallel()
 			ended := 0
 			for range row.runs {
-				got := upload(t, connector.TCP{UserTimeout: row.userTimeout}, acceptOne(t, row.serve), uploadBytes)
+				got := upload(t, connector.TCP{UserTimeout: row.userTimeout}, listenAndClose(t, row.serve), uploadBytes)
 				if got.readErr == nil {
 					ended++
 				}
@@ -155,7 +157,7 @@
 	for name, row := range rows {
 		t.Run(name, func(t *testing.T) {
 			for range resetRuns {
-				got := upload(t, connector.TCP{}, acceptOne(t, row.serve), row.size)
+				got := upload(t, connector.TCP{}, listenAndClose(t, row.serve), row.size)
 				if got.readErr != nil || got.received != partText {
 					t.Errorf("read got %q with error %v, want %q without one", got.received, got.readErr, partText)
 				}
@@ -180,7 +182,7 @@
 	for name, row := range rows {
 		t.Run(name, func(t *testing.T) {
 			resume := make(chan struct{})
-			address := acceptOne(t, func(connection *net.TCPConn) {
+			address := listenAndClose(t, func(connection *net.TCPConn) {
 				_, _ = io.WriteString(connection, partText)
 				<-resume
 				if row.reset {
--- a/internal/connector/connector.go
+++ b/internal/connector/connector.go
@@ -5,12 +5,10 @@
 import (
 	"context"
 	"net"
-	"net/http"
 	"net/netip"
 	"syscall"
 	"time"
 
-	"github.com/go-faster/errors"
 	"golang.org/x/sys/unix"
 )
 
@@ -23,11 +21,8 @@
 }
 
 const (
-	dialTimeout            = 2 * time.Second
-	keepAliveInterval      = 15 * time.Second
-	idleConnTimeout        = 90 * time.Second
-	maxIdleConnsPerHost    = 64
-	maxResponseHeaderBytes = 64 << 10
+	dialTimeout       = 2 * time.Second
+	keepAliveInterval = 15 * time.Second
 )
 
 // TCP is the Network of the operating system.
@@ -78,34 +73,6 @@
 	return err
 }
 
-// NewTransport returns an HTTP transport that opens its connections through
-// network. It accepts only addresses of the form IP:port.
-func NewTransport(network Network) *http.Transport {
-	return &http.Transport{
-		DialContext: func(ctx context.Context, _, hostport string) (net.Conn, error) {
-			addr, err := netip.ParseAddrPort(hostport)
-			if err != nil {
-				return nil, errors.Wrapf(err, "address %q is not IP:port", hostport)
-			}
-			return network.Dial(ctx, addr)
-		},
-		MaxIdleConnsPerHost:    maxIdleConnsPerHost,
-		IdleConnTimeout:        idleConnTimeout,
-		MaxResponseHeaderBytes: maxResponseHeaderBytes,
-		DisableCompression:     true,
-	}
-}
-
-// NewSingleUseTransport returns an HTTP transport like NewTransport that opens a new connection for
-// each request. An endpoint may send a response once more, late, on a connection that it keeps,
-// where nothing tells it from the response to the next request. Requests on new connections are not
-// silently retried either.
-func NewSingleUseTransport(network Network) *http.Transport {
-	transport := NewTransport(network)
-	transport.DisableKeepAlives = true
-	return transport
-}
-
 // ListenerAddress returns the address of a listener, or the zero address if it is
 // not of the form IP:port.
 func ListenerAddress(listener net.Listener) netip.AddrPort {
--- a/internal/demonstrator/simulation.go
+++ b/internal/demonstrator/simulation.go
@@ -60,7 +60,7 @@
 	Hosts  *SimulatedHosts
 	// Client sends requests to the daemons from ClientZone.
 	Client    *http.Client
-	transport *http.Transport
+	transport *connector.Transport
 }
 
 // StartSimulation starts a fleet on an in-memory network.
--- a/internal/exchanger/exchanger_test.go
+++ b/internal/exchanger/exchanger_test.go
@@ -17,27 +17,19 @@
 
 	"quetzalgrade.example/quetzalgrade/internal/connector"
 	"quetzalgrade.example/quetzalgrade/internal/exchanger"
+	"quetzalgrade.example/quetzalgrade/internal/faker"
 )
 
 // listen accepts connections on loopback. It calls serve for each of them with
 // its number, which starts at 1.
 func listen(t *testing.T, serve func(connection net.Conn, number int)) netip.AddrPort {
 	t.Helper()
-	listener, err := connector.TCP{}.Listen(netip.MustParseAddrPort("127.0.0.1:0"))
+	server, err := faker.ServeRaw(func(connection *net.TCPConn, number int) { serve(connection, number) })
 	if err != nil {
 		t.Fatalf("listen: %v", err)
 	}
-	t.Cleanup(func() { _ = listener.Close() })
-	go func() {
-		for number := 1; ; number++ {
-			connection, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go serve(connection, number)
-		}
-	}()
-	return connector.ListenerAddress(listener)
+	t.Cleanup(server.Close)
+	return server.Addr
 }
 
 const okResponse = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndone"
--- a/internal/exchanger/head.go
+++ b/internal/exchanger/head.go
@@ -5,14 +5,20 @@
 	"strings"
 
 	"github.com/go-faster/errors"
+
+	"quetzalgrade.example/quetzalgrade/internal/connector"
 )
 
 // errHeadInHead is the error of a head that holds the beginning of another one.
 var errHeadInHead = errors.New("another response begins inside the head of the response")
 
-// checkHead returns an error if another response begins inside a line of the head: the endpoint
-// stopped there. What follows, with the length of the body, belongs to the other response.
+// checkHead returns an error if the head cannot be trusted; see connector.CheckHead. It also returns one if
+// another response begins inside a line of the head: the endpoint stopped there. What follows, with the
+// length of the body, belongs to the other response.
 func checkHead(response *http.Response) error {
+	if err := connector.CheckHead(response.StatusCode, response.Header); err != nil {
+		return err
+	}
 	if HoldsStatusLine(response.Status) {
 		return errHeadInHead
 	}
--- a/internal/faker/early.go
+++ b/internal/faker/early.go
@@ -5,13 +5,8 @@
 	"io"
 	"net"
 	"net/http"
-	"net/netip"
-	"sync"
+	"sync/atomic"
 	"time"
-
-	"github.com/go-faster/errors"
-
-	"quetzalgrade.example/quetzalgrade/internal/connector"
 )
 
 // Ending is how an EarlyResponder ends a connection after its response.
@@ -33,70 +28,45 @@
 const blockTime = 20 * time.Millisecond
 
 // EarlyResponder is a fake endpoint on loopback that sends raw bytes as the response to a request, before
-// it has read the body. Connections carry one request.
+// it has read the body. A connection carries one request.
 type EarlyResponder struct {
-	Addr     netip.AddrPort
-	listener net.Listener
-	respond  func(request *http.Request) string
-	ending   Ending
-
-	mu          sync.Mutex
-	connections []net.Conn
-	requests    int
+	*RawServer
+	requests atomic.Int64
 }
 
 // ServeEarly starts an endpoint. Respond returns the bytes to send in response to the head of a request.
 // The caller must close the endpoint.
 func ServeEarly(ending Ending, respond func(request *http.Request) string) (*EarlyResponder, error) {
-	listener, err := connector.TCP{}.Listen(netip.MustParseAddrPort("127.0.0.1:0"))
-	if err != nil {
-		return nil, errors.Wrap(err, "listen")
-	}
-	r := &EarlyResponder{Addr: connector.ListenerAddress(listener), listener: listener, respond: respond, ending: ending}
-	go r.serve()
-	return r, nil
-}
-
-// serve accepts connections until the listener is closed.
-func (r *EarlyResponder) serve() {
-	for {
-		connection, err := r.listener.Accept()
+	r := &EarlyResponder{}
+	server, err := ServeRaw(func(connection *net.TCPConn, _ int) {
+		request, err := http.ReadRequest(bufio.NewReader(connection))
 		if err != nil {
+			_ = connection.Close()
 			return
 		}
-		r.mu.Lock()
-		r.connections = append(r.connections, connection)
-		r.mu.Unlock()
-		go r.handle(connection)
-	}
-}
-
-// handle responds to the request on a connection.
-func (r *EarlyResponder) handle(connection net.Conn) {
-	request, err := http.ReadRequest(bufio.NewReader(connection))
+		r.requests.Add(1)
+		if ending == EndAfterRequest {
+			_, _ = io.Copy(io.Discard, request.Body)
+		}
+		_, _ = io.WriteString(connection, respond(request))
+		ending.apply(connection, request)
+	})
 	if err != nil {
-		_ = connection.Close()
-		return
+		return nil, err
 	}
-	r.mu.Lock()
-	r.requests++
-	r.mu.Unlock()
-	if r.ending == EndAfterRequest {
-		_, _ = io.Copy(io.Discard, request.Body)
-	}
-	_, _ = io.WriteString(connection, r.respond(request))
-	r.end(connection.(*net.TCPConn), request)
+	r.RawServer = server
+	return r, nil
 }
 
-// end ends a connection after the response.
-func (r *EarlyResponder) end(connection *net.TCPConn, request *http.Request) {
-	switch r.ending {
+// apply ends a connection after the response.
+func (e Ending) apply(connection *net.TCPConn, request *http.Request) {
+	switch e {
 	case EndWithReset:
 		time.Sleep(blockTime)
 		_ = connection.SetLinger(0)
 		_ = connection.Close()
 	case EndHalf:
-		// Close ends the other half.
+		// RawServer.Close ends the other half.
 		_ = connection.CloseWrite()
 	case EndHalfAndRead:
 		_ = connection.CloseWrite()
@@ -108,18 +78,4 @@
 }
 
 // Requests returns the number of requests whose head has arrived.
-func (r *EarlyResponder) Requests() int {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.requests
-}
-
-// Close closes the listener and all connections.
-func (r *EarlyResponder) Close() {
-	_ = r.listener.Close()
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	for _, connection := range r.connections {
-		_ = connection.Close()
-	}
-}
+func (r *EarlyResponder) Requests() int { return int(r.requests.Load()) }
--- a/internal/sender/late_copy_test.go
+++ b/internal/sender/late_copy_test.go
@@ -15,6 +15,7 @@
 
 	"quetzalgrade.example/quetzalgrade/internal/classifier"
 	"quetzalgrade.example/quetzalgrade/internal/connector"
+	"quetzalgrade.example/quetzalgrade/internal/faker"
 	"quetzalgrade.example/quetzalgrade/internal/sender"
 )
 
@@ -22,21 +23,12 @@
 // before it on the connection once more.
 func lateCopyEndpoint(t *testing.T, respond func(request *http.Request) string) netip.AddrPort {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	server, err := faker.ServeRaw(func(connection *net.TCPConn, _ int) { serveWithCopies(connection, respond) })
 	if err != nil {
-		t.Fatalf("Listen() got error %v, want nil", err)
+		t.Fatalf("ServeRaw() got error %v, want nil", err)
 	}
-	t.Cleanup(func() { _ = listener.Close() })
-	go func() {
-		for {
-			connection, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go serveWithCopies(connection, respond)
-		}
-	}()
-	return connector.ListenerAddress(listener)
+	t.Cleanup(server.Close)
+	return server.Addr
 }
 
 func serveWithCopies(connection net.Conn, respond func(request *http.Request) string) {
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -82,7 +82,7 @@
 	pins          *keeper.Keeper[pinner.Table, int]
 	peers         *peerClients
 	prober        *prober.Prober
-	transport     *http.Transport
+	transport     *connector.Transport
 	singleUse     *http.Client // for orders to endpoints and reads of their load
 	log           *journaler.Client
 	appendBudget  *rate.Limiter
