Reject responses in whose head the name of a field is no token

What callers saw: an endpoint sent a head with a blank in the name of a field, such as "Content-Length : 4". The client got the response without what that field says: a body that is longer or shorter than announced, or the next response on the connection in its place, also in response to a booking. A refusal with such a head was believed, and the booking sent to another endpoint.

Cause: the parser of net/http accepts blanks in names and keeps the field under that name, so that nobody finds it. It rejects control bytes, tabs and other bytes itself.

--- a/internal/connector/transport_test.go
+++ b/internal/connector/transport_test.go
@@ -12,30 +12,41 @@
 	"quetzalgrade.example/quetzalgrade/internal/connector"
 )
 
-// TestCheckHead guards against a status that HTTP/1.1 doesn't have and that is believed, and against one
-// that it has and that is not.
+// TestCheckHead guards against a head that HTTP/1.1 doesn't allow and that is believed, and against one
+// that it allows and that is not.
 func TestCheckHead(t *testing.T) {
 	rows := map[string]struct {
 		status int
+		name   string
 		want   bool
 	}{
-		"none":                {0, false},
-		"below the lowest":    {99, false},
-		"interim":             {100, true},
-		"another protocol":    {101, false},
-		"another interim one": {199, true},
-		"success":             {200, true},
-		"without a name":      {299, true},
-		"failure":             {500, true},
-		"the highest":         {599, true},
-		"above the highest":   {600, false},
-		"three nines":         {999, false},
-		"negative":            {-1, false},
+		"status none":                {0, "A", false},
+		"status below the lowest":    {99, "A", false},
+		"interim status":             {100, "A", true},
+		"another protocol":           {101, "A", false},
+		"another interim status":     {199, "A", true},
+		"success":                    {200, "A", true},
+		"status without a name":      {299, "A", true},
+		"failure":                    {500, "A", true},
+		"highest status":             {599, "A", true},
+		"status above the highest":   {600, "A", false},
+		"three nines":                {999, "A", false},
+		"negative status":            {-1, "A", false},
+		"name of all kinds of bytes": {200, "aZ09!#$%&'*+-.^_`|~", true},
+		"blank in a name":            {200, "Content Length", false},
+		"blank after a name":         {200, "Content-Length ", false},
+		"tab in a name":              {200, "A\tB", false},
+		"control byte in a name":     {200, "A\x01", false},
+		"delete in a name":           {200, "A\x7f", false},
+		"byte above ASCII in a name": {200, "A\xa0", false},
+		"separator in a name":        {200, "A(B)", false},
+		"no name":                    {200, "", false},
+		"blank in an interim head":   {103, "A ", false},
 	}
 	for name, row := range rows {
 		t.Run(name, func(t *testing.T) {
-			if err := connector.CheckHead(row.status, http.Header{}); (err == nil) != row.want {
-				t.Errorf("CheckHead() of status %d got %v, want none: %t", row.status, err, row.want)
+			if err := connector.CheckHead(row.status, http.Header{"B": {"c"}, row.name: {"d"}}); (err == nil) != row.want {
+				t.Errorf("CheckHead() of status %d and name %q got %v, want none: %t", row.status, row.name, err, row.want)
 			}
 		})
 	}
@@ -78,6 +89,9 @@
 		"status 000 without a body":   {"HTTP/1.1 000 None\r\nContent-Length: 0\r\n\r\n", ""},
 		"status 000, a sound one":     {"HTTP/1.1 000 None\r\nContent-Length: 0\r\n\r\n" + sound, ""},
 		"status 999":                  {"HTTP/1.1 999 None\r\nContent-Length: 4\r\n\r\nbody", ""},
+		"blank in a name":             {"HTTP/1.1 200 OK\r\nContent-Length : 4\r\n\r\nbody", ""},
+		"blank, another length":       {"HTTP/1.1 200 OK\r\nContent-Length: 0\r\nContent-Length : 4\r\n\r\nbody", ""},
+		"blank in an interim head":    {"HTTP/1.1 103 Early Hints\r\nA : b\r\n\r\n" + sound, ""},
 		"another protocol, sound one": {"HTTP/1.1 101 Switching Protocols\r\n\r\n" + sound, ""},
 	}
 	for name, row := range rows {
--- a/internal/sender/head_test.go
+++ b/internal/sender/head_test.go
@@ -54,3 +54,30 @@
 		}
 	}
 }
+
+// TestInvalidFieldName guards against a response in whose head the name of a field is no token, and that is
+// believed: what the field says, for example the length, is lost.
+func TestInvalidFieldName(t *testing.T) {
+	names := map[string]string{
+		"blank at the end": "Content-Length : 4\r\n",
+		"blank inside":     "Content Length: 4\r\n",
+		"control byte":     "Content\x01Length: 4\r\n",
+		"carriage return":  "Content-Length\r: 4\r\n",
+	}
+	heads := map[string]string{
+		"response":               "HTTP/1.1 200 OK\r\nX-Load: 1/0\r\nNAME\r\nbody",
+		"another length":         "HTTP/1.1 200 OK\r\nX-Load: 1/0\r\nContent-Length: 2\r\nNAME\r\nbody",
+		"no body, then a sound":  "HTTP/1.1 200 OK\r\nX-Load: 1/0\r\nContent-Length: 0\r\nNAME\r\n" + sound,
+		"events":                 strings.Replace(events("", true, "text"), "Content-Type", "NAMEContent-Type", 1),
+		"refusal":                "HTTP/1.1 503 Service Unavailable\r\nX-Ran: no\r\nContent-Length: 4\r\nNAME\r\nbusy",
+		"interim, then a sound":  "HTTP/1.1 103 Early Hints\r\nNAME\r\n" + sound,
+		"interim, then a stream": "HTTP/1.1 103 Early Hints\r\nNAME\r\n" + events("", true, "text"),
+	}
+	for name, field := range names {
+		for form, head := range heads {
+			t.Run(name+", "+form, func(t *testing.T) {
+				checkHeadNotBelieved(t, strings.Replace(head, "NAME", field, 1))
+			})
+		}
+	}
+}
