--- a/internal/exchanger/exchanger.go
+++ b/internal/exchanger/exchanger.go
@@ -293,9 +293,9 @@
 	return response.ContentLength < 0 && len(response.TransferEncoding) == 0
 }
 
-// Read reads the body. It returns io.EOF only for a complete body, or for one
-// that ends with the connection; see SelfDelimited. It returns an error in place of the last part of a
-// body in which another response begins.
+// Read reads the body. It returns io.EOF only for a complete body, or for one that ends with a connection
+// that was closed, not reset; see SelfDelimited. It returns an error in place of the last part of a body in
+// which another response begins.
 func (r *Response) Read(data []byte) (int, error) {
 	n, err := r.httpResponse.Body.Read(data)
 	r.scanner.add(data[:n])
@@ -314,8 +314,8 @@
 // it announces none.
 func (r *Response) ContentLength() int64 { return r.httpResponse.ContentLength }
 
-// SelfDelimited reports whether the header says where the body ends. The end of
-// any other body cannot be told from a broken connection.
+// SelfDelimited reports whether the header says where the body ends. The end of any other body cannot be told
+// from that of a process that was killed; see CheckEnd.
 func (r *Response) SelfDelimited() bool { return !closeDelimited(r.httpResponse) }
 
 // CheckEnd returns an error if the body, which has been read to its end, may have been broken off:
