Make the new tests of broken responses independent of the machine's load

Traced beside 14: of 240 aborted responses 10 lacked their last 59 bytes. They were in a buffer of net/http when the handler aborted the response, which the client saw as aborted each time.

The stand-in also waits until what it wrote has been acknowledged before it resets, since a reset discards the rest.

--- a/internal/faker/early.go
+++ b/internal/faker/early.go
@@ -7,6 +7,8 @@
 	"net/http"
 	"sync/atomic"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // Ending is how an EarlyResponder ends a connection after its response.
@@ -24,8 +26,12 @@
 	EndAfterRequest
 )
 
-// blockTime is the time in which a writer fills the buffers of the sockets and waits for room in them.
-const blockTime = 20 * time.Millisecond
+const (
+	// blockTime is the time in which a writer fills the buffers of the sockets and waits for room in them.
+	blockTime = 20 * time.Millisecond
+	// deliveryTimeout bounds the wait until the other host has what was written.
+	deliveryTimeout = 5 * time.Second
+)
 
 // EarlyResponder is a fake endpoint on loopback that sends raw bytes as the response to a request, before
 // it has read the body. A connection carries one request.
@@ -63,6 +69,7 @@
 	switch e {
 	case EndWithReset:
 		time.Sleep(blockTime)
+		awaitDelivery(connection)
 		_ = connection.SetLinger(0)
 		_ = connection.Close()
 	case EndHalf:
@@ -77,5 +84,25 @@
 	}
 }
 
+// awaitDelivery waits until the other host has acknowledged all that was written. A reset discards what it
+// has not, so that a test could not tell how much of a response arrives.
+func awaitDelivery(connection *net.TCPConn) {
+	socket, err := connection.SyscallConn()
+	if err != nil {
+		return
+	}
+	for end := time.Now().Add(deliveryTimeout); time.Now().Before(end); time.Sleep(time.Millisecond) {
+		unacknowledged := 0
+		_ = socket.Control(func(fd uintptr) {
+			if n, err := unix.IoctlGetInt(int(fd), unix.SIOCOUTQ); err == nil {
+				unacknowledged = n
+			}
+		})
+		if unacknowledged == 0 {
+			return
+		}
+	}
+}
+
 // Requests returns the number of requests whose head has arrived.
 func (r *EarlyResponder) Requests() int { return int(r.requests.Load()) }
